--- /dev/null
+++ b/crates/core/src/error.rs
@@ -0,0 +1,49 @@
+//! What can go wrong on the command line.
+
+use derive_more::{Display, Error, From};
+
+/// A failed command.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum Error {
+    /// A flag has a wrong value.
+    #[display("--{flag}: {message}")]
+    #[from(skip)]
+    Flag { flag: &'static str, message: String },
+    /// A settings file or a configuration is wrong.
+    #[display("{_0}")]
+    Config(rwd_config::Error),
+    /// A file cannot be read.
+    #[display("{path}: {source}")]
+    #[from(skip)]
+    File {
+        path: String,
+        source: std::io::Error,
+    },
+    /// The runtime cannot start.
+    #[display("cannot start: {_0}")]
+    #[from(skip)]
+    Runtime(std::io::Error),
+    /// The log cannot be set up.
+    #[display("cannot set up the log: {_0}")]
+    Logger(flexi_logger::FlexiLoggerError),
+    /// A node cannot start.
+    #[display("{_0}")]
+    Node(rwd_node::Error),
+    /// A node cannot be reached.
+    #[display("cannot reach the node: {_0}")]
+    Edge(rwd_platform::Error),
+    /// A node refused what operators want.
+    #[display("{message}")]
+    #[from(skip)]
+    Refused { message: String },
+    /// The lab failed.
+    #[cfg(feature = "lab")]
+    #[display("{_0}")]
+    Lab(rwd_lab::Error),
+    /// A report cannot be written.
+    #[display("cannot write the report: {_0}")]
+    Json(serde_json::Error),
+}
+
+/// The result of a command.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/core/src/lab.rs
@@ -0,0 +1,66 @@
+//! Experiments and stand-ins.
+
+use rwd_lab::Report;
+use rwd_lab::bench::{self, BenchSettings};
+use rwd_lab::stand_in::{Engine, InstanceStandIn, Ledger, LogStandIn, ServiceStandIn};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use crate::resolved::{Format, StandIn};
+use crate::{Error, Result};
+
+/// Runs experiments one after another; fails if a promise was broken in any.
+pub(crate) async fn bench(settings: &[BenchSettings], format: Format) -> Result<ExitCode> {
+    let mut reports = Vec::new();
+    for cfg in settings {
+        let report = bench::run(cfg).await?;
+        if format == Format::Table {
+            println!("{report}\n");
+        }
+        reports.push(report);
+    }
+    if format == Format::Json {
+        let json = match &reports[..] {
+            [report] => serde_json::to_string_pretty(report)?,
+            reports => serde_json::to_string_pretty(reports)?,
+        };
+        println!("{json}");
+    }
+    match reports.iter().all(Report::is_clean) {
+        true => Ok(ExitCode::SUCCESS),
+        false => Ok(ExitCode::FAILURE),
+    }
+}
+
+/// Runs a stand-in until the process is ended.
+pub(crate) async fn stand_in(stand_in: StandIn, listen: SocketAddr) -> Result<ExitCode> {
+    let ledger = Arc::new(Ledger::default());
+    let io = |e| Error::Lab(rwd_lab::Error::Io(e));
+    match stand_in {
+        StandIn::Engine(cfg) => {
+            let engine = Engine::start(listen, cfg, ledger).await.map_err(io)?;
+            wait(engine.address(), &engine).await
+        }
+        StandIn::Service(cfg) => {
+            let service = ServiceStandIn::start(listen, cfg, ledger)
+                .await
+                .map_err(io)?;
+            wait(service.address(), &service).await
+        }
+        StandIn::Log => {
+            let log = LogStandIn::start(listen).await.map_err(io)?;
+            wait(log.address(), &log).await
+        }
+        StandIn::Instances { lag } => {
+            let instances = InstanceStandIn::start(listen, lag).await.map_err(io)?;
+            wait(instances.address(), &instances).await
+        }
+    }
+}
+
+// Says where the stand-in listens and keeps it running.
+async fn wait<T>(address: SocketAddr, _running: &T) -> Result<ExitCode> {
+    println!("listening on {address}");
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/core/src/logging.rs
@@ -0,0 +1,79 @@
+//! Log lines on standard error, as `key=value` text or as JSON.
+
+use flexi_logger::{DeferredNow, Logger, LoggerHandle, Record};
+use log::kv::{Error, Key, Value, VisitSource};
+use std::io::{self, Write};
+
+use crate::Result;
+use crate::resolved::LogFormat;
+
+/// What is logged without `RUST_LOG`.
+const DEFAULT_SPEC: &str = "info, h2=warn, hyper=warn, warp=warn";
+
+/// Starts the log; it ends with the handle.
+pub(crate) fn start(format: LogFormat) -> Result<Option<LoggerHandle>> {
+    let logger = match format {
+        LogFormat::Off => return Ok(None),
+        LogFormat::Text => Logger::try_with_env_or_str(DEFAULT_SPEC)?.format(text),
+        LogFormat::Json => Logger::try_with_env_or_str(DEFAULT_SPEC)?.format(json),
+    };
+    Ok(Some(logger.log_to_stderr().start()?))
+}
+
+struct Text(String);
+
+impl<'kvs> VisitSource<'kvs> for Text {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> std::result::Result<(), Error> {
+        let value = value.to_string();
+        self.0.push(' ');
+        self.0.push_str(key.as_str());
+        self.0.push('=');
+        match value.contains([' ', '"', '=']) {
+            true => self.0.push_str(&format!("{value:?}")),
+            false => self.0.push_str(&value),
+        }
+        Ok(())
+    }
+}
+
+fn text(w: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+    let mut pairs = Text(String::new());
+    // A pair that cannot be shown does not keep the others from being shown.
+    let _ = record.key_values().visit(&mut pairs);
+    let time = now.now().format("%Y-%m-%dT%H:%M:%S%.3f%:z");
+    let (level, target) = (record.level(), record.target());
+    write!(
+        w,
+        "{time} {level} {target} msg={:?}{}",
+        record.args().to_string(),
+        pairs.0
+    )
+}
+
+struct Json(serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Json {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> std::result::Result<(), Error> {
+        let json = match (value.to_u64(), value.to_bool()) {
+            (Some(n), _) => n.into(),
+            (_, Some(b)) => b.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+fn json(w: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+    let mut line = Json(serde_json::Map::new());
+    let time = now.now().format("%Y-%m-%dT%H:%M:%S%.3f%:z").to_string();
+    line.0.insert("time".into(), time.into());
+    line.0
+        .insert("level".into(), record.level().as_str().into());
+    line.0.insert("target".into(), record.target().into());
+    line.0
+        .insert("msg".into(), record.args().to_string().into());
+    // As in `text`.
+    let _ = record.key_values().visit(&mut line);
+    write!(w, "{}", serde_json::Value::Object(line.0))
+}
--- /dev/null
+++ b/crates/core/src/main.rs
@@ -0,0 +1,61 @@
+//! `redwingdrift`: a request scheduler for unlike model engines and plain services.
+//!
+//! This binary only reads flags, sets up logs and calls the libraries.
+
+mod check;
+mod error;
+mod flags;
+#[cfg(feature = "lab")]
+mod lab;
+mod logging;
+mod operate;
+mod resolved;
+mod serve;
+
+use std::process::ExitCode;
+use tokio::runtime::Builder;
+
+use crate::error::{Error, Result};
+use crate::resolved::Command;
+
+/// Exit status after wrong input.
+const EXIT_BAD_INPUT: u8 = 2;
+
+fn main() -> ExitCode {
+    let matches = flags::app().get_matches();
+    let result = resolved::Command::resolve(&matches).and_then(run);
+    match result {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("redwingdrift: {e}");
+            match e {
+                Error::Flag { .. } | Error::Config(_) => ExitCode::from(EXIT_BAD_INPUT),
+                _ => ExitCode::FAILURE,
+            }
+        }
+    }
+}
+
+fn run(command: Command) -> Result<ExitCode> {
+    let _logger = logging::start(command.log())?;
+    let runtime = Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    runtime.block_on(async {
+        match command {
+            Command::Serve { settings, .. } => serve::run(*settings).await,
+            Command::Check { file } => check::run(&file),
+            Command::Publish { to, file, base } => operate::publish(&to, &file, base).await,
+            Command::Preset { to, name } => operate::preset(&to, name).await,
+            Command::Drain { to, name, on } => operate::drain(&to, name, on).await,
+            Command::Status { to, format } => operate::status(&to, format).await,
+            #[cfg(feature = "lab")]
+            Command::Bench {
+                settings, format, ..
+            } => lab::bench(&settings, format).await,
+            #[cfg(feature = "lab")]
+            Command::Lab { stand_in, listen } => lab::stand_in(stand_in, listen).await,
+        }
+    })
+}
--- /dev/null
+++ b/crates/lab/src/cluster.rs
@@ -0,0 +1,469 @@
+//! A whole system in one process: stand-ins and nodes over loopback.
+
+use rwd_config::{
+    Class, Configuration, Model, PathRule, Policy, Preset, Service, Settings, Target, Tier,
+    Workspace,
+};
+use rwd_control::{Edit, PublishId};
+use rwd_node::{Node, NodeEdges};
+use rwd_platform::{Instance, InstanceRole, InstanceState};
+use rwd_types::{Millis, PresetName, Secret, TierRank, TokenRate, Tokens};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, mpsc};
+use std::time::{Duration, Instant};
+use tokio::runtime::{Builder, Runtime};
+use tokio::time::sleep;
+
+use crate::stand_in::{
+    Engine, EngineSettings, InstanceStandIn, Ledger, LogStandIn, ServiceSettings, ServiceStandIn,
+    TcpRelay,
+};
+use crate::{Error, Result, Workload};
+
+const SECRET: &str = "lab-shared-secret-0123456789";
+const OPERATOR_TOKEN: &str = "lab-operator-token-0123456789";
+/// How long the system may take to come together.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+/// Lag of the instance list.
+const LIST_LAG: Duration = Duration::from_millis(300);
+
+/// What to build.
+#[derive(Clone, Debug)]
+pub struct ClusterSettings {
+    /// Number of nodes.
+    pub nodes: usize,
+    /// The mix that decides targets and configuration.
+    pub workload: Workload,
+    /// How targets are chosen.
+    pub policy: Policy,
+    /// Changes to the peak preset.
+    pub preset: Preset,
+    /// Whether relays stand before nodes and targets, so that connections can be cut.
+    pub relays: bool,
+    /// How long callers keep addresses.
+    pub address_ttl: Millis,
+}
+
+impl ClusterSettings {
+    /// Six nodes for a mix.
+    pub fn new(workload: Workload) -> Self {
+        Self {
+            nodes: 6,
+            workload,
+            policy: Policy::Granted,
+            preset: Preset::default(),
+            relays: false,
+            address_ttl: Millis(2000),
+        }
+    }
+}
+
+/// A node on a runtime of its own, so that it can be killed or frozen like a process.
+pub struct NodeHandle {
+    /// Its name.
+    pub name: String,
+    /// Where callers reach it.
+    pub http: SocketAddr,
+    zone: String,
+    runtime: Option<Runtime>,
+    node: Option<Node>,
+    thaw: Option<mpsc::Sender<()>>,
+    relays: Option<(TcpRelay, TcpRelay)>,
+}
+
+/// Stand-ins and nodes.
+pub struct Cluster {
+    /// What was built.
+    pub cfg: ClusterSettings,
+    /// The log.
+    pub log: LogStandIn,
+    /// The instance list.
+    pub instances: InstanceStandIn,
+    /// The engines and the relays before them.
+    pub engines: Vec<Engine>,
+    /// The instances of the plain service.
+    pub services: Vec<ServiceStandIn>,
+    /// What the targets counted.
+    pub ledger: Arc<Ledger>,
+    /// The nodes.
+    pub nodes: Vec<NodeHandle>,
+    engine_relays: Vec<TcpRelay>,
+    published: u64,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// The engine of a mix with this number: even ones are of the newer generation.
+pub(crate) fn engine_settings(index: usize) -> EngineSettings {
+    let newer = EngineSettings {
+        name: format!("e{index}"),
+        ..EngineSettings::default()
+    };
+    match index % 2 {
+        0 => newer,
+        _ => EngineSettings {
+            prefill_per_ms: 12.0,
+            step_ms: 20.0,
+            step_ms_per_request: 0.5,
+            ..newer
+        },
+    }
+}
+
+impl Cluster {
+    /// Starts everything and publishes the configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when something cannot start, or does not come together in time.
+    pub async fn start(cfg: ClusterSettings) -> Result<Self> {
+        let ledger = Arc::new(Ledger::default());
+        let mut cluster = Self {
+            log: LogStandIn::start(loopback()).await?,
+            instances: InstanceStandIn::start(loopback(), LIST_LAG).await?,
+            engines: Vec::new(),
+            services: Vec::new(),
+            nodes: Vec::new(),
+            engine_relays: Vec::new(),
+            published: 0,
+            ledger,
+            cfg,
+        };
+        cluster.start_targets().await?;
+        for index in 0..cluster.cfg.nodes {
+            cluster.start_node(index).await?;
+        }
+        cluster.wait_for_members().await?;
+        let config = cluster.configuration().to_value();
+        cluster.publish(&Edit::Replace { config }).await?;
+        cluster.wait_for_revision().await?;
+        Ok(cluster)
+    }
+
+    async fn start_targets(&mut self) -> Result<()> {
+        for index in 0..self.cfg.workload.engines {
+            let engine =
+                Engine::start(loopback(), engine_settings(index), self.ledger.clone()).await?;
+            if self.cfg.relays {
+                self.engine_relays
+                    .push(TcpRelay::start(engine.address(), Duration::ZERO).await?);
+            }
+            self.engines.push(engine);
+        }
+        for index in 0..self.cfg.workload.services {
+            let cfg = ServiceSettings {
+                name: format!("s{index}"),
+                ..ServiceSettings::default()
+            };
+            self.services
+                .push(ServiceStandIn::start(loopback(), cfg, self.ledger.clone()).await?);
+        }
+        Ok(())
+    }
+
+    fn zone(&self, index: usize) -> &'static str {
+        self.cfg.workload.zones[index % 3]
+    }
+
+    /// Starts the node with this number, or a new life of it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it cannot start.
+    pub async fn start_node(&mut self, index: usize) -> Result<()> {
+        let name = format!("n{index}");
+        let zone = self.zone(index).to_owned();
+        let handle = NodeHandle::start(&name, &zone, self).await?;
+        self.instances.put(handle.listed());
+        match self.nodes.iter().position(|n| n.name == name) {
+            Some(i) => self.nodes[i] = handle,
+            None => self.nodes.push(handle),
+        }
+        Ok(())
+    }
+
+    async fn wait_for_members(&self) -> Result<()> {
+        let all = self.nodes.len();
+        self.wait(|node| node.watch_members().borrow().members.len() >= all)
+            .await
+    }
+
+    /// Waits until all running nodes have the newest published revision in force.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotReady`] after a long time.
+    pub async fn wait_for_revision(&self) -> Result<()> {
+        let newest = self.published;
+        self.wait(|node| node.revision().0 >= newest).await
+    }
+
+    async fn wait(&self, ready: impl Fn(&Node) -> bool) -> Result<()> {
+        let give_up = Instant::now() + READY_TIMEOUT;
+        while Instant::now() < give_up {
+            if self
+                .nodes
+                .iter()
+                .filter_map(|n| n.node.as_ref())
+                .all(&ready)
+            {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        Err(Error::NotReady)
+    }
+
+    /// Publishes an edit through the first running node; returns the revision.
+    ///
+    /// # Errors
+    ///
+    /// As [`rwd_control::Control::publish`].
+    pub async fn publish(&mut self, edit: &Edit) -> Result<u64> {
+        let node = self
+            .nodes
+            .iter()
+            .find_map(|n| n.node.as_ref())
+            .ok_or(Error::NotReady)?;
+        let id = PublishId(format!("lab-{:x}", rand::random::<u64>()).into());
+        let published = node.control().publish(id, "lab".into(), None, edit).await?;
+        self.published = published.revision.0;
+        Ok(published.revision.0)
+    }
+
+    /// Ends all nodes at once.
+    pub async fn stop(&mut self) {
+        for node in &mut self.nodes {
+            node.kill();
+        }
+    }
+
+    /// Addresses at which callers reach the nodes.
+    pub fn http_addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|n| n.http).collect()
+    }
+
+    /// The key of a workspace.
+    pub fn workspace_key(name: &str) -> String {
+        format!("key-of-{name}")
+    }
+
+    /// The relay before an engine, if relays were asked for.
+    pub fn engine_relay(&self, index: usize) -> Option<&TcpRelay> {
+        self.engine_relays.get(index)
+    }
+
+    fn configuration(&self) -> Configuration {
+        let w = &self.cfg.workload;
+        let zones = w.zones.iter().map(|z| (name(z), name(w.region)));
+        let tiers = w.tiers.iter().map(|t| {
+            let tier = Tier {
+                rank: TierRank(t.rank),
+                deadline: t.deadline.into(),
+            };
+            (name(t.tier), tier)
+        });
+        let workspaces = w.workspaces.iter().map(|(workspace, _)| {
+            let workspace_cfg = Workspace {
+                key: Self::workspace_key(workspace).into(),
+                weight: 1,
+                limits: Default::default(),
+            };
+            (name(workspace), workspace_cfg)
+        });
+        let classes = [0, 1].map(|i| {
+            let e = engine_settings(i);
+            let class = Class {
+                prefill: TokenRate((e.prefill_rate_when_full() * 1000.0) as u64),
+                token_interval: Millis((e.step_ms + e.step_ms_per_request * 8.0).ceil() as u64),
+            };
+            (name(CLASSES[i]), class)
+        });
+        let model = Model {
+            max_prompt: Tokens(16_000),
+            max_output: Tokens(4000),
+        };
+        let rule = PathRule { idempotent: false };
+        let service = Service {
+            paths: [(w.paths.1.into(), rule)].into(),
+        };
+        let preset = Preset {
+            policy: self.cfg.policy,
+            ..self.cfg.preset.clone()
+        };
+        let presets = [
+            PresetName::Ordinary,
+            PresetName::Peak,
+            PresetName::Maintenance,
+        ];
+        Configuration {
+            preset: PresetName::Peak,
+            presets: presets.map(|p| (p, preset.clone())).into(),
+            zones: zones.collect(),
+            tiers: tiers.collect(),
+            workspaces: workspaces.collect(),
+            classes: classes.into(),
+            models: [(name(w.model), model)].into(),
+            services: [(name(w.service), service)].into(),
+            targets: self.target_configuration(),
+            ..Configuration::default()
+        }
+    }
+
+    fn target_configuration(&self) -> indexmap::IndexMap<rwd_types::TargetName, Target> {
+        let w = &self.cfg.workload;
+        let engines = self.engines.iter().enumerate().map(|(i, engine)| {
+            let relay = self.engine_relays.get(i).map(TcpRelay::address);
+            let target = Target {
+                address: relay.unwrap_or(engine.address()),
+                zone: name(self.zone(i)),
+                class: Some(name(CLASSES[i % 2])),
+                pools: vec![name(w.model)],
+                slots: engine_settings(i).batch as u32,
+            };
+            (name(&format!("e{i}")), target)
+        });
+        let services = self.services.iter().enumerate().map(|(i, service)| {
+            let target = Target {
+                address: service.address(),
+                zone: name(self.zone(i)),
+                class: None,
+                pools: vec![name(w.service)],
+                slots: 64,
+            };
+            (name(&format!("s{i}")), target)
+        });
+        engines.chain(services).collect()
+    }
+}
+
+const CLASSES: [&str; 2] = ["newer", "older"];
+
+// The lab's own names are well formed.
+fn name<T: std::str::FromStr>(text: &str) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    text.parse()
+        .unwrap_or_else(|e| unreachable!("{text}: {e:?}"))
+}
+
+impl NodeHandle {
+    async fn start(node_name: &str, zone: &str, cluster: &Cluster) -> Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name(format!("node-{node_name}"))
+            .enable_all()
+            .build()?;
+        let http = TcpListener::bind(loopback())?;
+        let peer = TcpListener::bind(loopback())?;
+        http.set_nonblocking(true)?;
+        peer.set_nonblocking(true)?;
+        let (http_address, peer_address) = (http.local_addr()?, peer.local_addr()?);
+        let relays = match cluster.cfg.relays {
+            true => {
+                let http = TcpRelay::start(http_address, Duration::ZERO).await?;
+                let peer = TcpRelay::start(peer_address, Duration::ZERO).await?;
+                Some((http, peer))
+            }
+            false => None,
+        };
+        let told = relays.as_ref().map(|(h, p)| (h.address(), p.address()));
+        let (told_http, told_peer) = told.unwrap_or((http_address, peer_address));
+        let cfg = Settings {
+            instance: name(node_name),
+            zone: name(zone),
+            http: told_http,
+            peer: told_peer,
+            secret: Secret::new(SECRET),
+            operator_token: Secret::new(OPERATOR_TOKEN),
+            platform: rwd_config::PlatformSettings {
+                log: cluster.log.address(),
+                instances: cluster.instances.address(),
+            },
+            address_ttl: cluster.cfg.address_ttl,
+            ..Settings::default()
+        };
+        let started = runtime.spawn(async move {
+            let http = tokio::net::TcpListener::from_std(http)?;
+            let peer = tokio::net::TcpListener::from_std(peer)?;
+            let edges = NodeEdges::over_http(&cfg);
+            Ok::<_, Error>(Node::start_on(cfg, edges, http, peer).await?)
+        });
+        let node = started.await.map_err(|_| Error::NotReady)??;
+        Ok(Self {
+            name: node_name.to_owned(),
+            http: told_http,
+            zone: zone.to_owned(),
+            runtime: Some(runtime),
+            node: Some(node),
+            thaw: None,
+            relays,
+        })
+    }
+
+    fn listed(&self) -> Instance {
+        let peer = self.relays.as_ref().map(|(_, peer)| peer.address());
+        Instance {
+            name: self.name.as_str().into(),
+            role: InstanceRole::Node,
+            state: InstanceState::Live,
+            zone: name(&self.zone),
+            http: self.http,
+            peer: peer.or(self.node.as_ref().map(Node::peer_address)),
+        }
+    }
+
+    /// The node, unless it was killed or stopped.
+    pub fn node(&self) -> Option<&Node> {
+        self.node.as_ref()
+    }
+
+    /// The relays before the node's two listeners: for callers and for peers.
+    pub fn relays(&self) -> Option<&(TcpRelay, TcpRelay)> {
+        self.relays.as_ref()
+    }
+
+    /// Ends the node at once, as a crash does.
+    pub fn kill(&mut self) {
+        self.thaw();
+        self.node = None;
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Stops everything the node does, as a suspended process does, until it is thawed.
+    pub fn freeze(&mut self) {
+        let (tx, rx) = mpsc::channel();
+        if let Some(runtime) = &self.runtime {
+            runtime.spawn(async move {
+                // Blocks the only worker of the runtime on purpose.
+                let _ = rx.recv();
+            });
+            self.thaw = Some(tx);
+        }
+    }
+
+    /// Lets a frozen node go on.
+    pub fn thaw(&mut self) {
+        self.thaw = None;
+    }
+
+    /// A planned stop; returns when the node has ended.
+    pub async fn stop(&mut self) {
+        if let (Some(node), Some(runtime)) = (self.node.take(), &self.runtime) {
+            // A stop that fails leaves nothing to wait for.
+            let _ = runtime.spawn(node.stop()).await;
+        }
+        self.kill();
+    }
+}
+
+impl Drop for NodeHandle {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,289 @@
+//! The report of an experiment, as JSON and as a table.
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use serde::Serialize;
+use std::fmt;
+
+use crate::invariants::Invariants;
+use crate::stand_in::Ledger;
+use crate::{Outcome, RequestRecord};
+
+/// Percentiles of a time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Percentiles {
+    /// Half of the samples are at most this.
+    pub p50: f64,
+    /// 95 in 100 of the samples are at most this.
+    pub p95: f64,
+}
+
+/// What became of one tier's requests.
+#[derive(Clone, Debug, Serialize)]
+pub struct TierReport {
+    /// The tier.
+    pub tier: String,
+    /// Requests sent.
+    pub offered: u64,
+    /// Whole answers.
+    pub finished: u64,
+    /// Whole answers by the deadline.
+    pub in_time: u64,
+    /// `in_time` over `offered`.
+    pub goodput: f64,
+    /// Refusals of work that did not run.
+    pub refused_not_run: u64,
+    /// Ends that leave open whether the work ran, or that cut it.
+    pub unknown: u64,
+    /// No end at all.
+    pub lost: u64,
+    /// Time to the first token.
+    pub ttft_ms: Percentiles,
+    /// Time between two tokens.
+    pub itl_ms: Percentiles,
+    /// Tokens of answers that were whole by the deadline.
+    pub tokens_in_time: u64,
+}
+
+/// What the nodes used.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct ControlReport {
+    /// Bytes to and from peers per node and second, offers and grants among them.
+    pub bytes_per_node_s: f64,
+    /// Processor time per node over wall time, relaying of answers included.
+    pub core_share: f64,
+    /// Resident memory of the whole process, stand-ins included.
+    pub rss_mb: f64,
+}
+
+/// The report of one experiment.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The scenario.
+    pub scenario: String,
+    /// The policy.
+    pub policy: String,
+    /// The mix of requests.
+    pub workload: String,
+    /// The seed.
+    pub seed: u64,
+    /// How long requests were sent, in seconds.
+    pub seconds: f64,
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Number of targets.
+    pub targets: usize,
+    /// By tier, most valuable first.
+    pub tiers: Vec<TierReport>,
+    /// Prompt tokens that engines processed.
+    pub prefill_tokens: u64,
+    /// Those of them that were processed before, or for nothing.
+    pub wasted_prefill_tokens: u64,
+    /// Broken promises.
+    pub invariants: Invariants,
+    /// What the nodes used.
+    pub control: ControlReport,
+    /// Kinds of refusals and failures and how often they came.
+    pub problems: IndexMap<String, u64>,
+    /// Further figures of the scenario.
+    pub figures: IndexMap<String, f64>,
+    /// What the experiment did, in order.
+    pub events: Vec<String>,
+    /// Fields that this scenario does not measure.
+    pub not_measured: Vec<String>,
+}
+
+impl Report {
+    /// Sums up the records of an experiment.
+    pub fn new(scenario: &str, records: &[RequestRecord], ledger: &Ledger) -> Self {
+        let mut by_tier: IndexMap<(u8, &str), Vec<&RequestRecord>> = IndexMap::new();
+        for record in records {
+            by_tier
+                .entry((record.rank, record.tier))
+                .or_default()
+                .push(record);
+        }
+        by_tier.sort_unstable_keys();
+        let tiers = by_tier
+            .iter()
+            .map(|((_, tier), records)| TierReport::new(tier, records));
+        let (prefill_tokens, wasted_prefill_tokens) = ledger.prefill();
+        Self {
+            scenario: scenario.to_owned(),
+            policy: "granted".to_owned(),
+            workload: String::new(),
+            seed: 0,
+            seconds: 0.0,
+            nodes: 0,
+            targets: 0,
+            tiers: tiers.collect(),
+            prefill_tokens,
+            wasted_prefill_tokens,
+            invariants: Invariants::check(records, ledger),
+            control: ControlReport::default(),
+            problems: problems(records),
+            figures: IndexMap::new(),
+            events: Vec::new(),
+            not_measured: Vec::new(),
+        }
+    }
+
+    /// Whether every promise held and no request was lost.
+    pub fn is_clean(&self) -> bool {
+        self.invariants.hold() && self.tiers.iter().all(|t| t.lost == 0)
+    }
+}
+
+impl TierReport {
+    fn new(tier: &str, records: &[&RequestRecord]) -> Self {
+        let count =
+            |f: &dyn Fn(&RequestRecord) -> bool| records.iter().filter(|r| f(r)).count() as u64;
+        let in_time = count(&|r| r.in_time());
+        let completions = records.iter().filter(|r| r.tokens > 0);
+        let first = completions.clone().filter_map(|r| {
+            let first = r.first_token?;
+            Some((first - r.sent).as_secs_f64() * 1000.0)
+        });
+        let intervals = completions.flat_map(|r| r.intervals.iter().map(|ms| f64::from(*ms)));
+        let tokens = records.iter().filter(|r| r.in_time()).map(|r| r.tokens);
+        Self {
+            tier: tier.to_owned(),
+            offered: records.len() as u64,
+            finished: count(&|r| r.outcome == Outcome::Whole),
+            in_time,
+            goodput: in_time as f64 / records.len().max(1) as f64,
+            refused_not_run: count(&|r| matches!(r.outcome, Outcome::NotRun { .. })),
+            unknown: count(&|r| matches!(r.outcome, Outcome::Unknown { .. })),
+            lost: count(&|r| r.outcome == Outcome::Lost),
+            ttft_ms: percentiles(first),
+            itl_ms: percentiles(intervals),
+            tokens_in_time: tokens.sum(),
+        }
+    }
+}
+
+fn problems(records: &[RequestRecord]) -> IndexMap<String, u64> {
+    let mut problems = IndexMap::new();
+    for record in records {
+        let name = match &record.outcome {
+            Outcome::NotRun { kind } => format!("{} not run: {kind}", record.tier),
+            Outcome::Unknown { kind } => format!("{} unknown: {kind}", record.tier),
+            _ => continue,
+        };
+        *problems.entry(name).or_default() += 1;
+    }
+    problems.sort_unstable_keys();
+    problems
+}
+
+/// The percentiles of some milliseconds.
+pub(crate) fn percentiles(samples: impl Iterator<Item = f64>) -> Percentiles {
+    // Three digits are more than the machine's own noise.
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
+        return Percentiles::default();
+    };
+    for ms in samples {
+        // The histogram grows as needed, so that no sample is out of its range.
+        let _ = histogram.record((ms * 1000.0) as u64);
+    }
+    let at = |q| histogram.value_at_quantile(q) as f64 / 1000.0;
+    Percentiles {
+        p50: at(0.5),
+        p95: at(0.95),
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} · {} · {} · seed {} · {:.0} s · {} nodes · {} targets",
+            self.scenario,
+            self.workload,
+            self.policy,
+            self.seed,
+            self.seconds,
+            self.nodes,
+            self.targets
+        )?;
+        writeln!(f)?;
+        writeln!(
+            f,
+            "{:<12}{:>9}{:>9}{:>9}{:>9}{:>9}{:>9}{:>7}{:>10}{:>10}{:>9}",
+            "tier",
+            "offered",
+            "whole",
+            "in time",
+            "goodput",
+            "not run",
+            "unknown",
+            "lost",
+            "first p50",
+            "first p95",
+            "gap p95"
+        )?;
+        for t in &self.tiers {
+            writeln!(
+                f,
+                "{:<12}{:>9}{:>9}{:>9}{:>9.3}{:>9}{:>9}{:>7}{:>8.0}ms{:>8.0}ms{:>7.1}ms",
+                t.tier,
+                t.offered,
+                t.finished,
+                t.in_time,
+                t.goodput,
+                t.refused_not_run,
+                t.unknown,
+                t.lost,
+                t.ttft_ms.p50,
+                t.ttft_ms.p95,
+                t.itl_ms.p95
+            )?;
+        }
+        let share = self.wasted_prefill_tokens as f64 / self.prefill_tokens.max(1) as f64;
+        writeln!(f)?;
+        writeln!(
+            f,
+            "prompt tokens processed {}, wasted {} ({:.1}%)",
+            self.prefill_tokens,
+            self.wasted_prefill_tokens,
+            share * 100.0
+        )?;
+        for (name, n) in &self.problems {
+            writeln!(f, "  {name}: {n}")?;
+        }
+        for (name, value) in &self.figures {
+            writeln!(f, "  {name}: {value:.3}")?;
+        }
+        for event in &self.events {
+            writeln!(f, "  {event}")?;
+        }
+        writeln!(f, "{}", self.invariants)?;
+        write!(
+            f,
+            "peer traffic {:.0} B/s a node · {:.3} of a core a node · {:.0} MB in all",
+            self.control.bytes_per_node_s, self.control.core_share, self.control.rss_mb
+        )?;
+        match self.not_measured.is_empty() {
+            true => Ok(()),
+            false => write!(f, "\nnot measured: {}", self.not_measured.join(", ")),
+        }
+    }
+}
+
+impl fmt::Display for Invariants {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "must be 0: dispatched twice {}, tier inversions {}, wrong answers {}, false not-run {}, \
+             non-idempotent twice {}, cut by planned stop {}, late to leaving {}, config reverted {}",
+            self.dispatched_twice,
+            self.tier_inversions,
+            self.wrong_answers,
+            self.false_not_run,
+            self.non_idempotent_twice,
+            self.cut_by_planned_stop,
+            self.late_to_leaving,
+            self.config_reverted
+        )
+    }
+}
--- /dev/null
+++ b/crates/lab/src/stand_in/mod.rs
@@ -0,0 +1,20 @@
+//! Stand-ins of the platform and of the targets, each also a process of its own.
+
+mod engine;
+mod engine_sim;
+mod faults;
+mod instances;
+mod ledger;
+mod log;
+mod prefix_cache;
+mod service;
+mod tcp_relay;
+
+pub use engine::Engine;
+pub use engine_sim::EngineSettings;
+pub use faults::{FaultSettings, Faults};
+pub use instances::InstanceStandIn;
+pub use ledger::{Ledger, Run};
+pub use log::LogStandIn;
+pub use service::{ServiceSettings, ServiceStandIn};
+pub use tcp_relay::{Cut, TcpRelay};
--- /dev/null
+++ b/crates/lab/src/stand_in/prefix_cache.rs
@@ -0,0 +1,101 @@
+//! An engine's prefix cache: blocks of prompts, the least recently used ones go first.
+
+use indexmap::IndexMap;
+use rwd_platform::CacheEvent;
+use rwd_types::BlockHash;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Events kept for readers.
+const MAX_EVENTS: usize = 4096;
+
+/// A bounded cache of prompt blocks that publishes what it stores and evicts.
+#[derive(Debug)]
+pub(crate) struct PrefixCache {
+    capacity: usize,
+    // The value is the time of the last use.
+    blocks: IndexMap<BlockHash, u64>,
+    clock: u64,
+    events: VecDeque<(Instant, CacheEvent)>,
+    sequence: u64,
+    lag: Duration,
+    // Every so many events one is lost.
+    gap_every: u64,
+}
+
+impl PrefixCache {
+    pub fn new(capacity: usize, lag: Duration, gap_every: u64) -> Self {
+        Self {
+            capacity,
+            blocks: IndexMap::new(),
+            clock: 0,
+            events: VecDeque::new(),
+            sequence: 0,
+            lag,
+            gap_every,
+        }
+    }
+
+    /// Number of leading blocks that are cached; marks them as used.
+    pub fn hit(&mut self, blocks: &[BlockHash]) -> usize {
+        self.clock += 1;
+        let clock = self.clock;
+        let hits = blocks.iter().take_while(|b| match self.blocks.get_mut(*b) {
+            Some(used) => {
+                *used = clock;
+                true
+            }
+            None => false,
+        });
+        hits.count()
+    }
+
+    pub fn store(&mut self, blocks: &[BlockHash]) {
+        self.clock += 1;
+        for block in blocks {
+            if self.blocks.insert(*block, self.clock).is_none() {
+                self.publish(*block, true);
+            }
+        }
+        while self.blocks.len() > self.capacity {
+            self.evict();
+        }
+    }
+
+    // The tail of a prompt goes before its head, so that what is left is still a prefix.
+    fn evict(&mut self) {
+        let oldest = self.blocks.values().min().copied();
+        let index = oldest.and_then(|o| self.blocks.values().rposition(|used| *used == o));
+        if let Some((block, _)) = index.and_then(|i| self.blocks.shift_remove_index(i)) {
+            self.publish(block, false);
+        }
+    }
+
+    fn publish(&mut self, block: BlockHash, stored: bool) {
+        self.sequence += 1;
+        if self.gap_every > 0 && self.sequence.is_multiple_of(self.gap_every) {
+            return;
+        }
+        let sequence = self.sequence;
+        self.events.push_back((
+            Instant::now(),
+            CacheEvent {
+                sequence,
+                block,
+                stored,
+            },
+        ));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// The events from `from` on that are old enough to be seen.
+    pub fn events(&self, from: u64) -> Vec<CacheEvent> {
+        let visible = self
+            .events
+            .iter()
+            .filter(|(at, e)| at.elapsed() >= self.lag && e.sequence >= from);
+        visible.map(|(_, e)| *e).collect()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/stand_in/service.rs
@@ -0,0 +1,118 @@
+//! A plain service: answers calls after a short time and counts them.
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use rwd_platform::STREAM_HEADER;
+use serde_json::json;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+use super::{Faults, Ledger};
+use crate::http_server::{AnswerLost, Body, HttpServer, empty, json_response, text_response};
+
+/// Speed of a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceSettings {
+    /// Its name.
+    pub name: String,
+    /// Time that a call takes.
+    pub delay: Duration,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            name: "service".into(),
+            delay: Duration::from_millis(5),
+        }
+    }
+}
+
+/// A running service stand-in.
+pub struct ServiceStandIn {
+    server: HttpServer,
+    faults: Arc<Faults>,
+    ledger: Arc<Ledger>,
+}
+
+impl ServiceStandIn {
+    /// Starts a service.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be listened on.
+    pub async fn start(
+        address: SocketAddr,
+        cfg: ServiceSettings,
+        ledger: Arc<Ledger>,
+    ) -> io::Result<Self> {
+        let faults = Arc::new(Faults::default());
+        let handler = Arc::new((cfg, faults.clone(), ledger.clone()));
+        let server = HttpServer::start(address, move |req| {
+            let handler = handler.clone();
+            async move { answer(&handler.0, &handler.1, &handler.2, req).await }
+        });
+        let server = server.await?;
+        Ok(Self {
+            server,
+            faults,
+            ledger,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Its faults.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// What it counted.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+}
+
+async fn answer(
+    cfg: &ServiceSettings,
+    faults: &Faults,
+    ledger: &Ledger,
+    req: Request<Bytes>,
+) -> Result<Response<Body>, AnswerLost> {
+    match req.uri().path() {
+        "/lab/counts" => return Ok(json_response(StatusCode::OK, &ledger.counts())),
+        "/lab/faults" => {
+            return Ok(match faults.set_json(req.body()) {
+                Ok(()) => json_response(StatusCode::OK, &faults.get()),
+                Err(e) => text_response(StatusCode::BAD_REQUEST, e.to_string()),
+            });
+        }
+        _ => (),
+    }
+    faults.thaw().await;
+    if faults.get().down {
+        return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let name = req
+        .headers()
+        .get(STREAM_HEADER)
+        .and_then(|v| v.to_str().ok());
+    let name = name.unwrap_or("unnamed");
+    let run = ledger.arrived(name, &cfg.name);
+    ledger.started(name, run);
+    sleep(cfg.delay.mul_f64(faults.get().slow)).await;
+    faults.thaw().await;
+    ledger.finished(name, run);
+    if faults.take_lost_answer() {
+        return Err(AnswerLost);
+    }
+    let asked: serde_json::Value = serde_json::from_slice(req.body()).unwrap_or_default();
+    let reply = json!({ "ok": true, "path": req.uri().path(), "lab_tag": asked["lab_tag"], "run": run + 1 });
+    Ok(json_response(StatusCode::OK, &reply))
+}
--- /dev/null
+++ b/crates/node/src/handler.rs
@@ -0,0 +1,44 @@
+//! Hands each exchange that a peer opens to the part that answers it.
+
+use log::debug;
+use rwd_control::Control;
+use rwd_entry::Api;
+use rwd_peer::{Directory, Exchange, Handler, Membership};
+use rwd_sched::Scheduler;
+use rwd_types::InstanceName;
+use rwd_wire::Message;
+use std::sync::Arc;
+
+pub(crate) struct PeerHandler {
+    pub directory: Arc<Directory>,
+    pub membership: Arc<Membership>,
+    pub control: Arc<Control>,
+    pub scheduler: Arc<Scheduler>,
+    pub api: Api,
+}
+
+impl Handler for PeerHandler {
+    async fn handle(&self, from: InstanceName, first: Message, mut ex: Exchange) {
+        let own_life = |life| self.directory.is_own_life(life);
+        let witness = self.api.home().witness();
+        let result = match first {
+            Message::Ping(_) | Message::PingFor { .. } => self.membership.answer(&first, ex).await,
+            Message::Pull { have } => self.control.answer(have, ex).await,
+            Message::Offer(offer) => self.scheduler.serve_offer(*offer, ex).await,
+            Message::Adopt(adopted) => self.scheduler.serve_adopted(*adopted, ex).await,
+            Message::Record(key) if key.prefix.home == from => {
+                let verdict = witness.record(&key, own_life);
+                ex.send_last(&Message::Witnessed(verdict)).await
+            }
+            Message::Close(key) => {
+                let verdict = witness.close(&key, own_life);
+                ex.send_last(&Message::Witnessed(verdict)).await
+            }
+            Message::Forward(head) => self.api.serve_forwarded(*head, ex).await,
+            _ => Err(rwd_peer::Error::Unexpected),
+        };
+        if let Err(e) = result {
+            debug!(peer:% = from, error:% = e; "exchange failed");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,293 @@
+//! One node and its tasks.
+
+use indexmap::IndexSet;
+use rwd_config::Settings;
+use rwd_control::{Control, ControlSettings};
+use rwd_entry::{Api, EntryParts, EntrySettings, Home, KeyTableSettings};
+use rwd_metrics::Metrics;
+use rwd_peer::{
+    ByteCounter, Directory, LinkSettings, Links, Membership, MembershipSettings, serve,
+};
+use rwd_platform::{HttpInstanceList, HttpLog, HttpTargets, InstanceList, Log, Targets};
+use rwd_sched::{Baseline, Scheduler, SchedulerSettings, Topology};
+use rwd_timer::Timer;
+use rwd_types::{Incarnation, Millis, Revision, TargetName};
+use rwd_wire::{Liveness, MemberUpdate};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::handler::PeerHandler;
+use crate::{Error, NodeStatus, Result, http_server};
+
+/// How long a grant may stay unused.
+const GRANT_LEASE: Millis = Millis(1000);
+/// Age of the last snapshot after which a new one is due.
+const SNAPSHOT_PERIOD: Duration = Duration::from_secs(600);
+/// How long opening a link to a peer may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The outside systems that a node works with.
+#[derive(Clone)]
+pub struct NodeEdges {
+    /// The platform's log.
+    pub log: Arc<dyn Log>,
+    /// The platform's instance list.
+    pub instances: Arc<dyn InstanceList>,
+    /// The targets.
+    pub targets: Arc<dyn Targets>,
+}
+
+impl NodeEdges {
+    /// The systems that the settings name, over HTTP.
+    pub fn over_http(cfg: &Settings) -> Self {
+        Self {
+            log: Arc::new(HttpLog::new(cfg.platform.log)),
+            instances: Arc::new(HttpInstanceList::new(cfg.platform.instances)),
+            targets: Arc::new(HttpTargets::default()),
+        }
+    }
+}
+
+/// What the tasks of one node share.
+pub(crate) struct Shared {
+    pub cfg: Settings,
+    pub edges: NodeEdges,
+    pub timer: Timer,
+    pub metrics: Arc<Metrics>,
+    pub directory: Arc<Directory>,
+    pub membership: Arc<Membership>,
+    pub control: Arc<Control>,
+    pub scheduler: Arc<Scheduler>,
+    pub baseline: Arc<Baseline>,
+    pub home: Arc<Home>,
+    pub topology: watch::Sender<Arc<Topology>>,
+    // Targets that the instance list marks as leaving.
+    pub leaving_targets: watch::Sender<IndexSet<TargetName>>,
+    pub leaving: watch::Sender<bool>,
+    pub closing: watch::Sender<bool>,
+    pub peer_bytes: ByteCounter,
+}
+
+/// A running node; dropping it ends its tasks at once.
+pub struct Node {
+    pub(crate) shared: Arc<Shared>,
+    http: SocketAddr,
+    peer: SocketAddr,
+    tasks: JoinSet<()>,
+}
+
+impl Node {
+    /// Starts a node over HTTP edges on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address of the settings cannot be listened on.
+    pub async fn start(cfg: Settings) -> Result<Self> {
+        let edges = NodeEdges::over_http(&cfg);
+        let http = listen(cfg.http).await?;
+        let peer = listen(cfg.peer).await?;
+        Self::start_on(cfg, edges, http, peer).await
+    }
+
+    /// Starts a node on open listeners.
+    ///
+    /// The settings hold the addresses that others are told; the listeners may have others.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the metrics cannot be set up.
+    pub async fn start_on(
+        cfg: Settings,
+        edges: NodeEdges,
+        http: TcpListener,
+        peer: TcpListener,
+    ) -> Result<Self> {
+        let local = |l: &TcpListener, address| {
+            l.local_addr()
+                .map_err(|source| Error::Listen { address, source })
+        };
+        let (http_address, peer_address) = (local(&http, cfg.http)?, local(&peer, cfg.peer)?);
+        let shared = Arc::new(Shared::new(cfg, edges)?);
+        let mut node = Self {
+            shared,
+            http: http_address,
+            peer: peer_address,
+            tasks: JoinSet::new(),
+        };
+        node.spawn_tasks(http, peer);
+        Ok(node)
+    }
+
+    fn spawn_tasks(&mut self, http: TcpListener, peer: TcpListener) {
+        let shared = &self.shared;
+        let api = Api::new(shared.home.clone());
+        let handler = Arc::new(PeerHandler {
+            directory: shared.directory.clone(),
+            membership: shared.membership.clone(),
+            control: shared.control.clone(),
+            scheduler: shared.scheduler.clone(),
+            api: api.clone(),
+        });
+        let (secret, bytes) = (shared.cfg.secret.clone(), shared.peer_bytes.clone());
+        let tasks = &mut self.tasks;
+        tasks.spawn(serve(peer, secret, bytes, handler));
+        tasks.spawn(http_server::serve(http, api, shared.clone()));
+        let s = shared.clone();
+        tasks.spawn(async move { s.membership.clone().run(&s.timer).await });
+        let s = shared.clone();
+        tasks.spawn(async move { s.control.follow_log().await });
+        let s = shared.clone();
+        tasks.spawn(async move { s.control.follow_peers().await });
+        tasks.spawn(shared.clone().follow_instances());
+        tasks.spawn(shared.clone().follow_topology());
+        tasks.spawn(shared.clone().follow_drain());
+        tasks.spawn(shared.clone().run_scheduler());
+        tasks.spawn(shared.clone().poll_cache_events());
+        tasks.spawn(shared.clone().poll_load());
+    }
+
+    /// Where callers reach the node.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// Where peers reach the node.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// The revision in force at this node.
+    pub fn revision(&self) -> Revision {
+        self.shared.control.in_force().revision
+    }
+
+    /// Follows the configuration in force at this node.
+    pub fn watch_config(&self) -> watch::Receiver<rwd_control::InForce> {
+        self.shared.control.watch()
+    }
+
+    /// Follows which nodes this node believes to be alive.
+    pub fn watch_members(&self) -> watch::Receiver<Arc<rwd_peer::View>> {
+        self.shared.directory.watch()
+    }
+
+    /// The control part, for publishing from the same process.
+    pub fn control(&self) -> &Arc<Control> {
+        &self.shared.control
+    }
+
+    /// What the node knows and holds.
+    pub fn status(&self) -> NodeStatus {
+        self.shared.status()
+    }
+}
+
+impl Shared {
+    fn new(cfg: Settings, edges: NodeEdges) -> Result<Self> {
+        let timer = Timer::start();
+        let metrics = Arc::new(Metrics::new()?);
+        let directory = Arc::new(Directory::new(own_news(&cfg)));
+        let peer_bytes = ByteCounter::default();
+        let link_cfg = LinkSettings {
+            own: cfg.instance.clone(),
+            secret: cfg.secret.clone(),
+            connect_timeout: CONNECT_TIMEOUT,
+            ping_period: cfg.heartbeat.duration(),
+            ping_timeout: cfg.suspicion.duration(),
+        };
+        let links = Arc::new(Links::new(link_cfg, directory.clone(), peer_bytes.clone()));
+        let membership_cfg = MembershipSettings {
+            heartbeat: cfg.heartbeat.duration(),
+            probe_timeout: cfg.probe_timeout.duration(),
+            suspicion: cfg.suspicion.duration(),
+        };
+        let membership = Membership::new(membership_cfg, directory.clone(), links.clone());
+        let membership = Arc::new(membership);
+        let control_cfg = ControlSettings {
+            instance: cfg.instance.clone(),
+            snapshot_period: SNAPSHOT_PERIOD,
+        };
+        let control = Arc::new(Control::new(
+            control_cfg,
+            edges.log.clone(),
+            directory.clone(),
+            links.clone(),
+            membership.clone(),
+        ));
+        let scheduler_cfg = SchedulerSettings {
+            instance: cfg.instance.clone(),
+            lease: GRANT_LEASE,
+        };
+        let scheduler = Arc::new(Scheduler::new(scheduler_cfg, metrics.clone()));
+        let baseline = Arc::new(Baseline::default());
+        let topology = watch::Sender::new(Arc::default());
+        let parts = EntryParts {
+            instance: cfg.instance.clone(),
+            zone: cfg.zone.clone(),
+            secret: cfg.secret.clone(),
+            directory: directory.clone(),
+            links,
+            membership: membership.clone(),
+            scheduler: scheduler.clone(),
+            control: control.clone(),
+            topology: topology.subscribe(),
+            targets: edges.targets.clone(),
+            baseline: baseline.clone(),
+            metrics: metrics.clone(),
+        };
+        let entry_cfg = EntrySettings {
+            progress_timeout: cfg.progress_timeout.duration(),
+            address_ttl: cfg.address_ttl,
+            keys: KeyTableSettings {
+                answer_bytes: cfg.answer_buffer.0 as usize,
+                ..KeyTableSettings::default()
+            },
+            ..EntrySettings::default()
+        };
+        let home = Arc::new(Home::new(parts, entry_cfg));
+        Ok(Self {
+            cfg,
+            edges,
+            timer,
+            metrics,
+            directory,
+            membership,
+            control,
+            scheduler,
+            baseline,
+            home,
+            topology,
+            leaving_targets: watch::Sender::default(),
+            leaving: watch::Sender::new(false),
+            closing: watch::Sender::new(false),
+            peer_bytes,
+        })
+    }
+}
+
+// A later life has a later start; the random part keeps two lives of one millisecond apart.
+fn own_news(cfg: &Settings) -> MemberUpdate {
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let incarnation = (started.as_millis() as u64) << 8 | u64::from(rand::random::<u8>());
+    MemberUpdate {
+        name: cfg.instance.clone(),
+        incarnation: Incarnation(incarnation),
+        refutation: 0,
+        liveness: Liveness::Alive,
+        leaving: false,
+        http: cfg.http,
+        peer: cfg.peer,
+        zone: cfg.zone.clone(),
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|source| Error::Listen { address, source })
+}
--- /dev/null
+++ b/crates/peer/src/bytes_count.rs
@@ -0,0 +1,71 @@
+//! Counts the bytes that cross a connection.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes read and written by all connections that share the counter.
+#[derive(Clone, Debug, Default)]
+pub struct ByteCounter(Arc<AtomicU64>);
+
+impl ByteCounter {
+    /// The bytes counted so far.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn add(&self, n: usize) {
+        self.0.fetch_add(n as u64, Ordering::Relaxed);
+    }
+}
+
+/// A connection whose bytes are counted.
+pub struct Counted<S> {
+    inner: S,
+    counter: ByteCounter,
+}
+
+impl<S> Counted<S> {
+    /// Counts what crosses `inner`.
+    pub fn new(inner: S, counter: ByteCounter) -> Self {
+        Self { inner, counter }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.inner).poll_read(cx, buf);
+        self.counter.add(buf.filled().len() - before);
+        poll
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.inner).poll_write(cx, buf);
+        if let Poll::Ready(Ok(n)) = poll {
+            self.counter.add(n);
+        }
+        poll
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/rendezvous.rs
@@ -0,0 +1,24 @@
+//! Rendezvous hashing: every node ranks the candidates for a key in the same order.
+//!
+//! Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
+//! IEEE/ACM Transactions on Networking, 1998.
+
+use rwd_types::InstanceName;
+use rwd_wire::MemberUpdate;
+use std::cmp::Reverse;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The weight of a candidate for a key; the highest weight wins.
+pub fn score(key: u64, name: &InstanceName) -> u64 {
+    xxh3_64_with_seed(name.as_str().as_bytes(), key)
+}
+
+/// The candidates for a key, best first.
+pub fn rank<'a>(
+    key: u64,
+    candidates: impl Iterator<Item = &'a MemberUpdate>,
+) -> Vec<&'a MemberUpdate> {
+    let mut ranked: Vec<_> = candidates.collect();
+    ranked.sort_by_cached_key(|m| Reverse((score(key, &m.name), m.name.clone())));
+    ranked
+}
--- /dev/null
+++ b/crates/sched/src/pick.rs
@@ -0,0 +1,105 @@
+//! Chooses which waiting offer gets which free target.
+
+use rwd_types::{PoolName, TargetName, TierRank};
+use tokio::time::Instant;
+
+use crate::shard::ShardState;
+use crate::target_state::{Probe, TargetState};
+use crate::{FairQueue, Waiting, WaitingId};
+
+/// Offers that are weighed against one another for one slot.
+const WINDOW: usize = 16;
+/// Offers of one workspace among them.
+const WINDOW_PER_WORKSPACE: usize = 4;
+/// An offer that was passed over this often is next.
+const MAX_PASSED_OVER: u32 = 8;
+/// A later offer must save at least this many milliseconds of prompt work to be preferred.
+const LEAST_GAIN_MS: f64 = 1.0;
+
+/// One offer and the target it is to go to.
+#[derive(Debug, PartialEq)]
+pub(crate) struct Pick {
+    pub id: WaitingId,
+    pub pool: PoolName,
+    pub tier: TierRank,
+    pub target: TargetName,
+    pub probe: Probe,
+    /// The offer that was first in line, if another one was preferred.
+    pub passed_over: Option<WaitingId>,
+}
+
+type Free<'a> = (&'a TargetName, &'a TargetState, Probe);
+
+/// The best pair of a waiting offer and a free target, if there is one.
+///
+/// Tiers are strict: an offer is weighed only against others of its tier. Probes
+/// of unhealthy targets take the least valuable work instead.
+pub(crate) fn pick(shard: &ShardState, now: Instant, prefill_weight: f64) -> Option<Pick> {
+    let free = shard
+        .targets
+        .iter()
+        .filter_map(|(name, t)| Some((name, t, t.free_slot(now)?)));
+    let (probes, good): (Vec<Free>, Vec<Free>) = free.partition(|(_, _, probe)| probe.0);
+    let ranks = shard.ranks();
+    let among = |rank: &TierRank, free: &[Free]| {
+        let queues = shard.queues.iter();
+        let mut queues = queues.filter_map(|(name, q)| Some((name, q.tiers.get(rank)?)));
+        queues.find_map(|(pool, fair)| best(shard, pool, fair, *rank, free, now, prefill_weight))
+    };
+    let regular = ranks.iter().find_map(|rank| among(rank, &good));
+    regular.or_else(|| ranks.iter().rev().find_map(|rank| among(rank, &probes)))
+}
+
+// The offer that loses least by going to a free target now rather than to the target that has
+// most of its prompt cached; the first in line unless another one saves something.
+fn best(
+    shard: &ShardState,
+    pool: &PoolName,
+    fair: &FairQueue,
+    tier: TierRank,
+    free: &[Free],
+    now: Instant,
+    prefill_weight: f64,
+) -> Option<Pick> {
+    let holds = |t: &TargetState| t.target.pools.contains(pool);
+    let free: Vec<_> = free.iter().filter(|(_, t, _)| holds(t)).collect();
+    if free.is_empty() {
+        return None;
+    }
+    let front = fair.front(WINDOW, WINDOW_PER_WORKSPACE);
+    let head = front.first()?;
+    let window = match head.passed_over {
+        n if n >= MAX_PASSED_OVER => &front[..1],
+        _ => &front[..],
+    };
+    let mut found: Option<(f64, &Waiting, &Free)> = None;
+    for w in window {
+        let cost = |t: &TargetState| t.cost(&w.offer, now, prefill_weight);
+        let nearest = free.iter().min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))?;
+        let holders = shard.targets.values().filter(|t| holds(t) && t.is_usable());
+        let least = holders
+            .map(|t| t.prefill_ms(&w.offer))
+            .fold(f64::INFINITY, f64::min);
+        let regret = nearest.1.prefill_ms(&w.offer) - least.min(nearest.1.prefill_ms(&w.offer));
+        if found
+            .as_ref()
+            .is_none_or(|(least, _, _)| regret + LEAST_GAIN_MS <= *least)
+        {
+            found = Some((regret, w, nearest));
+        }
+        if found
+            .as_ref()
+            .is_some_and(|(least, _, _)| *least < LEAST_GAIN_MS)
+        {
+            break;
+        }
+    }
+    found.map(|(_, w, (target, _, probe))| Pick {
+        id: w.id,
+        pool: pool.clone(),
+        tier,
+        target: (*target).clone(),
+        probe: *probe,
+        passed_over: (w.id != head.id).then_some(head.id),
+    })
+}
--- /dev/null
+++ b/crates/sched/src/scheduler.rs
@@ -0,0 +1,560 @@
+//! The scheduler of one node: all shards that it owns.
+
+use indexmap::{IndexMap, IndexSet};
+use log::info;
+use rwd_config::Configuration;
+use rwd_metrics::{Metrics, label};
+use rwd_platform::CacheEvents;
+use rwd_types::{
+    InstanceName, Millis, PoolName, Problem, ProblemKind, TargetName, TierRank, Tokens,
+};
+use rwd_wire::{Adopted, Digest, Finish, Grant, GrantId, Offer, ShardId};
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+use crate::pick::{Pick, pick};
+use crate::shard::{PoolQueue, ShardState};
+use crate::target_state::{Health, InFlight, TargetState};
+use crate::{Decision, Ticket, Topology, Waiting, WaitingId};
+
+/// When a refused caller may try again.
+const RETRY_AFTER: Millis = Millis(1000);
+
+/// Settings of a scheduler.
+#[derive(Clone, Debug)]
+pub struct SchedulerSettings {
+    /// The node it runs on.
+    pub instance: InstanceName,
+    /// How long a grant may stay unused.
+    pub lease: Millis,
+}
+
+/// One target in a status report.
+#[derive(Clone, Debug, Serialize)]
+pub struct TargetStatus {
+    /// The target.
+    pub name: TargetName,
+    /// Whether it gets work, and if not, why.
+    pub health: &'static str,
+    /// Requests in progress.
+    pub in_flight: usize,
+    /// Requests that it may have in progress.
+    pub slots: u32,
+    /// Estimated milliseconds between two tokens.
+    pub token_interval_ms: f64,
+    /// Blocks its cache is believed to hold.
+    pub cached_blocks: usize,
+}
+
+/// One owned shard in a status report.
+#[derive(Clone, Debug, Serialize)]
+pub struct ShardStatus {
+    /// The shard.
+    pub shard: ShardId,
+    /// Waiting requests by tier.
+    pub waiting: IndexMap<TierRank, usize>,
+    /// The targets.
+    pub targets: Vec<TargetStatus>,
+}
+
+#[derive(Default)]
+struct Inner {
+    cfg: Arc<Configuration>,
+    shards: IndexMap<ShardId, ShardState>,
+    waiters: IndexMap<WaitingId, Waiter>,
+    next_id: WaitingId,
+    offers: u64,
+}
+
+struct Waiter {
+    shard: ShardId,
+    // None once the decision has been sent.
+    tx: Option<oneshot::Sender<Decision>>,
+    cancel: Arc<Notify>,
+    // The target and the end of the lease, from the grant on.
+    granted: Option<(TargetName, PoolName)>,
+}
+
+/// Queues offers and grants slots for the shards that one node owns.
+pub struct Scheduler {
+    cfg: SchedulerSettings,
+    metrics: Arc<Metrics>,
+    inner: Mutex<Inner>,
+}
+
+impl Scheduler {
+    /// A scheduler that owns nothing yet.
+    pub fn new(cfg: SchedulerSettings, metrics: Arc<Metrics>) -> Self {
+        Self {
+            cfg,
+            metrics,
+            inner: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Takes over the shards that the topology gives to this node, and gives up the others.
+    pub fn apply(&self, cfg: &Arc<Configuration>, topology: &Topology) {
+        let mut inner = self.lock();
+        inner.cfg = cfg.clone();
+        let owned: IndexSet<_> = topology
+            .owned(&self.cfg.instance)
+            .map(|s| s.id.clone())
+            .collect();
+        let lost: Vec<_> = inner
+            .shards
+            .keys()
+            .filter(|id| !owned.contains(*id))
+            .cloned()
+            .collect();
+        for id in lost {
+            self.give_up(&mut inner, &id);
+        }
+        for shard in topology.owned(&self.cfg.instance) {
+            let state = inner.shards.entry(shard.id.clone()).or_insert_with(|| {
+                info!(decision = "own", shard:? = shard.id; "took over a shard");
+                ShardState::default()
+            });
+            state.apply(cfg, topology, shard);
+        }
+        self.pump(&mut inner);
+    }
+
+    fn give_up(&self, inner: &mut Inner, id: &ShardId) {
+        info!(decision = "disown", shard:? = id; "gave up a shard");
+        let Some(mut state) = inner.shards.swap_remove(id) else {
+            return;
+        };
+        let queues = state.queues.values_mut().flat_map(|q| q.tiers.values_mut());
+        for w in queues.flat_map(|q| q.drain()) {
+            inner.decide(w.id, Decision::NotOwner);
+        }
+    }
+
+    /// Queues an offer; the ticket gives the decision.
+    pub fn offer(self: &Arc<Self>, offer: Offer) -> Ticket {
+        let mut inner = self.lock();
+        let (id, ticket) = self.ticket(&mut inner, &offer.shard);
+        inner.offers += 1;
+        if !inner.shards.contains_key(&offer.shard) {
+            inner.decide(id, Decision::NotOwner);
+            return ticket;
+        }
+        let now = Instant::now();
+        let deadline = now + offer.time_left.duration();
+        let w = Waiting {
+            id,
+            offer,
+            arrived: now,
+            deadline,
+            passed_over: 0,
+        };
+        self.enqueue(&mut inner, w);
+        self.pump(&mut inner);
+        ticket
+    }
+
+    fn ticket(self: &Arc<Self>, inner: &mut Inner, shard: &ShardId) -> (WaitingId, Ticket) {
+        inner.next_id += 1;
+        let id = inner.next_id;
+        let (tx, decision) = oneshot::channel();
+        let cancel = Arc::new(Notify::new());
+        let waiter = Waiter {
+            shard: shard.clone(),
+            tx: Some(tx),
+            cancel: cancel.clone(),
+            granted: None,
+        };
+        inner.waiters.insert(id, waiter);
+        let scheduler = self.clone();
+        (
+            id,
+            Ticket {
+                id,
+                scheduler,
+                decision,
+                cancel,
+                finish: None,
+            },
+        )
+    }
+
+    // Admits the offer, shedding less valuable work for it where the queue is full.
+    fn enqueue(&self, inner: &mut Inner, w: Waiting) {
+        let bound = inner.cfg.preset_in_force().queue_tokens;
+        let (id, tier) = (w.id, w.offer.tier);
+        let (shard_id, pool) = (w.offer.shard.clone(), w.offer.pool.clone());
+        let Some(shard) = inner.shards.get_mut(&shard_id) else {
+            return;
+        };
+        if !shard.can_meet(&w, w.offer.time_left.0 as f64) {
+            let detail = "the deadline is shorter than an idle target would need";
+            let problem = Problem::not_run(ProblemKind::Deadline, detail);
+            return self.refuse(inner, w, problem);
+        }
+        let queue = shard.queues.entry(pool.clone()).or_default();
+        queue.tiers.entry(tier).or_default().push(w);
+        let mut shed = Vec::new();
+        while queue.tokens() > bound {
+            let lowest = queue.lowest().unwrap_or(tier);
+            let fair = queue.tiers.get_mut(&lowest);
+            let excess = fair.and_then(|q| q.excess().and_then(|e| q.remove(e)));
+            match excess {
+                Some(w) => shed.push(w),
+                None => break,
+            }
+        }
+        // Work of this tier is shed only when no less valuable work is left in this queue.
+        debug_assert!(shed.iter().all(|w| w.offer.tier >= tier || w.id == id));
+        for w in shed {
+            self.refuse(
+                inner,
+                w,
+                shed_problem("more valuable work needs the capacity"),
+            );
+        }
+    }
+
+    fn refuse(&self, inner: &mut Inner, w: Waiting, problem: Problem) {
+        info!(
+            decision = "refuse", id = w.id, tier:% = w.offer.tier, pool:% = w.offer.pool,
+            workspace:% = w.offer.workspace, kind:% = problem.kind,
+            waited_ms = w.arrived.elapsed().as_millis() as u64;
+            "refused an offer"
+        );
+        let labels = [label("tier", w.offer.tier), label("kind", problem.kind)];
+        self.metrics.refused.add(1, &labels);
+        inner.decide(w.id, Decision::Refused(problem));
+    }
+
+    fn pump(&self, inner: &mut Inner) {
+        let now = Instant::now();
+        let ids: Vec<_> = inner.shards.keys().cloned().collect();
+        let preset = inner.cfg.preset_in_force();
+        let weight = preset.prefill_weight as f64 / 100.0;
+        for id in ids {
+            while let Some(shard) = inner.shards.get(&id) {
+                match pick(shard, now, weight) {
+                    Some(pick) => self.grant(inner, &id, pick, now),
+                    None => break,
+                }
+            }
+            if preset.cancel_lower {
+                cancel_lower(inner, &id);
+            }
+        }
+    }
+
+    fn grant(&self, inner: &mut Inner, shard_id: &ShardId, pick: Pick, now: Instant) {
+        let cfg = inner.cfg.clone();
+        let Some(shard) = inner.shards.get_mut(shard_id) else {
+            return;
+        };
+        let queue = shard.queues.get_mut(&pick.pool);
+        let Some(fair) = queue.and_then(|q| q.tiers.get_mut(&pick.tier)) else {
+            return;
+        };
+        if let Some(head) = pick.passed_over {
+            fair.pass_over(head);
+        }
+        let workspace = fair
+            .get(pick.id)
+            .and_then(|w| cfg.workspaces.get(&w.offer.workspace));
+        let weight = workspace.map_or(1, |w| w.weight);
+        let Some(w) = fair.serve(pick.id, weight) else {
+            return;
+        };
+        let (Some(target), Some(waiter)) = (
+            shard.targets.get_mut(&pick.target),
+            inner.waiters.get_mut(&w.id),
+        ) else {
+            return;
+        };
+        info!(
+            decision = "grant", id = w.id, tier:% = w.offer.tier, pool:% = pick.pool,
+            workspace:% = w.offer.workspace, target:% = pick.target, probe = pick.probe.0,
+            cached = target.cache.cached(&w.offer.blocks).0, prompt = w.offer.prompt.0,
+            waited_ms = w.arrived.elapsed().as_millis() as u64;
+            "granted a slot"
+        );
+        self.metrics.granted.add(1, &[label("pool", &pick.pool)]);
+        let in_flight = InFlight {
+            tier: w.offer.tier,
+            offer: w.offer,
+            granted: now,
+            cancel: waiter.cancel.clone(),
+            cancelled: false,
+            probe: pick.probe.0,
+        };
+        target.grant(w.id, in_flight);
+        waiter.granted = Some((pick.target.clone(), pick.pool));
+        let grant = Grant {
+            id: GrantId(w.id),
+            target: pick.target,
+            address: target.target.address,
+            lease: self.cfg.lease,
+            token_interval: Millis(target.interval.ceil() as u64),
+        };
+        // A holder that is gone drops its ticket, which releases the slot.
+        inner.decide(w.id, Decision::Granted(grant));
+    }
+
+    /// Counts a request that was granted by an earlier owner of the target.
+    pub fn adopt(self: &Arc<Self>, adopted: Adopted) -> Option<Ticket> {
+        let mut inner = self.lock();
+        let shard = inner.shards.get(&adopted.offer.shard)?;
+        shard.targets.get(&adopted.target)?;
+        let (id, ticket) = self.ticket(&mut inner, &adopted.offer.shard);
+        let pool = adopted.offer.pool.clone();
+        if let Some(waiter) = inner.waiters.get_mut(&id) {
+            waiter.granted = Some((adopted.target.clone(), pool));
+            waiter.tx = None;
+        }
+        let in_flight = InFlight {
+            tier: adopted.offer.tier,
+            granted: Instant::now(),
+            cancel: ticket.cancel.clone(),
+            cancelled: false,
+            probe: false,
+            offer: adopted.offer.clone(),
+        };
+        let shard = inner.shards.get_mut(&adopted.offer.shard)?;
+        let target = shard.targets.get_mut(&adopted.target)?;
+        target.cache.store(&in_flight.offer.blocks);
+        target.in_flight.insert(id, in_flight);
+        Some(ticket)
+    }
+
+    /// Notes that a granted request makes too little progress.
+    pub fn slow(&self, id: WaitingId) {
+        let mut inner = self.lock();
+        if let Some((target, name)) = inner.target_of(id) {
+            if target.health == Health::Good {
+                info!(decision = "straggler", target:% = name; "target is slower than its class");
+            }
+            target.slow();
+        }
+    }
+
+    /// Gives up an offer or a slot; called when a ticket is dropped.
+    pub(crate) fn release(&self, id: WaitingId, finish: Option<Finish>) {
+        let mut inner = self.lock();
+        let allowed = inner.cfg.preset_in_force().token_interval;
+        if let Some((target, name)) = inner.target_of(id) {
+            let before = target.health;
+            target.finish(id, finish.as_ref(), allowed);
+            if before != target.health {
+                let health = health_name(target.health);
+                info!(decision = "health", target:% = name, health; "health of a target changed");
+            }
+        }
+        if let Some(waiter) = inner.waiters.swap_remove(&id)
+            && let Some(shard) = inner.shards.get_mut(&waiter.shard)
+        {
+            for queue in shard.queues.values_mut() {
+                queue.remove(id);
+            }
+        }
+        self.pump(&mut inner);
+    }
+
+    /// Refuses work whose deadline cannot be met any more, and voids unused grants.
+    ///
+    /// Call it several times a second.
+    pub fn tick(&self) {
+        let mut inner = self.lock();
+        let now = Instant::now();
+        let ids: Vec<_> = inner.shards.keys().cloned().collect();
+        for id in ids {
+            let Some(shard) = inner.shards.get_mut(&id) else {
+                continue;
+            };
+            for (w, kind) in overdue(shard, now) {
+                let problem = match kind {
+                    ProblemKind::Deadline => {
+                        Problem::not_run(kind, "the deadline cannot be met any more")
+                    }
+                    _ => shed_problem("more valuable work of this pool had to be refused"),
+                };
+                self.refuse(&mut inner, w, problem);
+            }
+        }
+        self.pump(&mut inner);
+    }
+
+    /// Takes in a target's cache events.
+    pub fn cache_events(&self, target: &TargetName, events: &CacheEvents) {
+        let mut inner = self.lock();
+        let found = inner
+            .shards
+            .values_mut()
+            .find_map(|s| s.targets.get_mut(target));
+        if let Some(state) = found {
+            for event in &events.events {
+                state.cache.event(event.block, event.stored);
+            }
+        }
+    }
+
+    /// The owned targets and their addresses.
+    pub fn owned_targets(&self) -> Vec<(TargetName, SocketAddr, bool)> {
+        let inner = self.lock();
+        let targets = inner.shards.values().flat_map(|s| &s.targets);
+        let row = |(name, t): (&TargetName, &TargetState)| {
+            (name.clone(), t.target.address, t.target.class.is_some())
+        };
+        targets.map(row).collect()
+    }
+
+    /// The digests of the owned shards.
+    pub fn digests(&self) -> Vec<Digest> {
+        let mut inner = self.lock();
+        let owner = self.cfg.instance.clone();
+        let digests = inner.shards.iter_mut().map(|(id, shard)| {
+            shard.digest_sequence += 1;
+            let free = shard
+                .targets
+                .values()
+                .filter(|t| t.is_usable())
+                .map(|t| (t.slots.floor() as usize).saturating_sub(t.in_flight.len()) as u32);
+            Digest {
+                shard: id.clone(),
+                owner: owner.clone(),
+                sequence: shard.digest_sequence,
+                lowest: shard.lowest(),
+                queued: shard.queued(),
+                free_slots: free.sum(),
+            }
+        });
+        digests.collect()
+    }
+
+    /// What the node owns and what waits for it.
+    pub fn status(&self) -> Vec<ShardStatus> {
+        let inner = self.lock();
+        let shards = inner.shards.iter().map(|(id, shard)| ShardStatus {
+            shard: id.clone(),
+            waiting: waiting_by_tier(shard),
+            targets: shard
+                .targets
+                .iter()
+                .map(|(name, t)| TargetStatus {
+                    name: name.clone(),
+                    health: match t.leaving {
+                        true => "leaving",
+                        false => health_name(t.health),
+                    },
+                    in_flight: t.in_flight.len(),
+                    slots: t.slots as u32,
+                    token_interval_ms: t.interval,
+                    cached_blocks: t.cache.len(),
+                })
+                .collect(),
+        });
+        shards.collect()
+    }
+
+    /// Offers received so far.
+    pub fn offers_received(&self) -> u64 {
+        self.lock().offers
+    }
+
+    /// The estimate of all work in progress on the owned targets.
+    pub fn tokens_in_flight(&self) -> Tokens {
+        let inner = self.lock();
+        let targets = inner.shards.values().flat_map(|s| s.targets.values());
+        Tokens(targets.map(|t| t.tokens_in_flight().0).sum())
+    }
+}
+
+impl Inner {
+    fn decide(&mut self, id: WaitingId, decision: Decision) {
+        if let Some(tx) = self.waiters.get_mut(&id).and_then(|w| w.tx.take()) {
+            // A receiver that is gone has dropped its ticket or is about to.
+            let _ = tx.send(decision);
+        }
+    }
+
+    fn target_of(&mut self, id: WaitingId) -> Option<(&mut TargetState, TargetName)> {
+        let waiter = self.waiters.get(&id)?;
+        let (name, _) = waiter.granted.clone()?;
+        let shard = self.shards.get_mut(&waiter.shard)?;
+        shard.targets.get_mut(&name).map(|t| (t, name))
+    }
+}
+
+fn waiting_by_tier(shard: &ShardState) -> IndexMap<TierRank, usize> {
+    let mut waiting = IndexMap::new();
+    for (rank, q) in shard.queues.values().flat_map(|q: &PoolQueue| &q.tiers) {
+        *waiting.entry(*rank).or_default() += q.len();
+    }
+    waiting.sort_unstable_keys();
+    waiting
+}
+
+// Takes out what can no longer be done in time, and with it all less valuable work of the same
+// pool: no tier may be shed while a lower one is kept.
+fn overdue(shard: &mut ShardState, now: Instant) -> Vec<(Waiting, ProblemKind)> {
+    let mut late: Vec<(PoolName, WaitingId, TierRank)> = Vec::new();
+    for (pool, queue) in &shard.queues {
+        for w in queue.tiers.values().flat_map(|q| q.iter()) {
+            let left = w.deadline.saturating_duration_since(now).as_secs_f64() * 1000.0;
+            if !shard.can_meet(w, left) {
+                late.push((pool.clone(), w.id, w.offer.tier));
+            }
+        }
+    }
+    let mut out = Vec::new();
+    for (pool, id, tier) in late {
+        let Some(queue) = shard.queues.get_mut(&pool) else {
+            continue;
+        };
+        if let Some(w) = queue.remove(id) {
+            out.push((w, ProblemKind::Deadline));
+            let below = queue.take_below(tier);
+            out.extend(below.into_iter().map(|w| (w, ProblemKind::Shed)));
+        }
+    }
+    out
+}
+
+// Takes back one slot of the least valuable running work for waiting work that is more valuable.
+fn cancel_lower(inner: &mut Inner, id: &ShardId) {
+    let Some(shard) = inner.shards.get_mut(id) else {
+        return;
+    };
+    let waiting = shard.ranks().first().copied();
+    let already = shard.targets.values().flat_map(|t| t.in_flight.values());
+    if already.clone().any(|f| f.cancelled) {
+        return;
+    }
+    let running = shard
+        .targets
+        .values_mut()
+        .flat_map(|t| t.in_flight.values_mut());
+    let lowest = running.max_by_key(|f| (f.tier, f.granted));
+    if let (Some(waiting), Some(f)) = (waiting, lowest)
+        && f.tier > waiting
+    {
+        f.cancelled = true;
+        f.cancel.notify_one();
+    }
+}
+
+fn shed_problem(detail: &'static str) -> Problem {
+    Problem::not_run(ProblemKind::Shed, detail).retry_after(RETRY_AFTER)
+}
+
+fn health_name(health: Health) -> &'static str {
+    match health {
+        Health::Good => "good",
+        Health::Straggler { .. } => "straggler",
+        Health::Down { .. } => "down",
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,14 @@
+//! Messages between nodes and their framing.
+//!
+//! A frame is a four-byte big-endian length followed by one bincode-encoded
+//! [`Message`]. Both the length and the decoder's allocations are bounded, so a
+//! peer can make a node neither panic nor allocate without limit.
+
+mod frame;
+mod message;
+
+pub use crate::frame::{Error, FrameBuffer, MAX_FRAME_BYTES, Result, decode, encode};
+pub use crate::message::{
+    Adopted, Digest, Finish, ForwardHead, Gossip, Grant, GrantId, Hello, Liveness, MemberUpdate,
+    Message, NONCE_BYTES, Offer, ResponseHead, ShardId, Usage, VERSION, Verdict,
+};
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,290 @@
+//! What nodes say to one another.
+
+use compact_str::CompactString;
+use rwd_types::{
+    BlockHash, Incarnation, InstanceName, LogOffset, Millis, PoolName, Problem, RegionName,
+    RequestKey, Revision, TargetName, TierRank, Tokens, WorkspaceName, ZoneName,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The version of the messages; nodes of different versions do not talk.
+pub const VERSION: u16 = 1;
+/// Bytes of the random number in a handshake.
+pub const NONCE_BYTES: usize = 16;
+
+/// The first message on a connection.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hello {
+    /// [`VERSION`] of the sender.
+    pub version: u16,
+    /// The sender.
+    pub from: InstanceName,
+    /// Makes the handshake unrepeatable.
+    pub nonce: [u8; NONCE_BYTES],
+}
+
+/// What a node believes of another.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Liveness {
+    /// It answers.
+    Alive,
+    /// It did not answer lately and may still refute that.
+    Suspect,
+    /// It did not refute in time.
+    Failed,
+}
+
+/// One piece of membership news.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberUpdate {
+    /// The node it is about.
+    pub name: InstanceName,
+    /// The life of that node.
+    pub incarnation: Incarnation,
+    /// Counts the node's own refutations in that life.
+    pub refutation: u32,
+    /// What is believed.
+    pub liveness: Liveness,
+    /// Whether the node is on its way out.
+    pub leaving: bool,
+    /// Where callers reach it.
+    pub http: SocketAddr,
+    /// Where peers reach it.
+    pub peer: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// A group of targets in one region whose first pool is the same, with one owner.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ShardId {
+    /// The region of the targets.
+    pub region: RegionName,
+    /// The first pool of the targets.
+    pub group: PoolName,
+    /// The number of the shard in its group.
+    pub index: u32,
+}
+
+/// How much work of which tier waits for one shard.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Digest {
+    /// The shard.
+    pub shard: ShardId,
+    /// The node that owns the shard.
+    pub owner: InstanceName,
+    /// Orders the digests of one owner.
+    pub sequence: u64,
+    /// The least valuable tier that waits, if any does.
+    pub lowest: Option<TierRank>,
+    /// The estimate of all waiting work.
+    pub queued: Tokens,
+    /// Slots without work.
+    pub free_slots: u32,
+}
+
+/// What rides on every heartbeat.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Gossip {
+    /// The sender's view of itself.
+    pub own: MemberUpdate,
+    /// The revision in force at the sender.
+    pub revision: Revision,
+    /// Membership news.
+    pub updates: Vec<MemberUpdate>,
+    /// Queue digests.
+    pub digests: Vec<Digest>,
+}
+
+/// Describes a request that waits at its home.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Offer {
+    /// The model or service.
+    pub pool: PoolName,
+    /// The shard to which the request is offered.
+    pub shard: ShardId,
+    /// The tier.
+    pub tier: TierRank,
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// Length of the prompt.
+    pub prompt: Tokens,
+    /// Estimated length of the answer.
+    pub output: Tokens,
+    /// Chained hashes of the first blocks of the prompt.
+    pub blocks: Vec<BlockHash>,
+    /// Time left until the deadline.
+    pub time_left: Millis,
+}
+
+/// Numbers the grants of one owner.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct GrantId(pub u64);
+
+/// The right to use one slot of a target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Grant {
+    /// Identifies the grant at its owner.
+    pub id: GrantId,
+    /// The target.
+    pub target: TargetName,
+    /// Where the target listens.
+    pub address: SocketAddr,
+    /// The grant is void if the request is not dispatched within this time.
+    pub lease: Millis,
+    /// The time between two tokens that the owner expects of the target.
+    pub token_interval: Millis,
+}
+
+/// How a granted slot was left.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Usage {
+    /// Nothing was dispatched, for a reason that says nothing about the target.
+    #[default]
+    Unused,
+    /// The target could not be reached, so nothing was dispatched.
+    Unreachable,
+    /// The whole answer came.
+    Whole,
+    /// The home gave the request up while the target worked on it.
+    Abandoned,
+    /// The target failed while it worked on the request.
+    TargetFailed,
+}
+
+/// How a granted request went, for the owner's estimates.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Finish {
+    /// How the slot was left.
+    pub usage: Usage,
+    /// Time from dispatch to the first token.
+    pub first_token: Millis,
+    /// Time from the first token to the last.
+    pub decode: Millis,
+    /// Tokens of the answer.
+    pub output: Tokens,
+    /// Prompt tokens that the target had in its cache, if it said so.
+    pub cached: Option<Tokens>,
+}
+
+/// A request in progress whose target has a new owner.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Adopted {
+    /// The descriptor with which the request was granted.
+    pub offer: Offer,
+    /// The target that works on it.
+    pub target: TargetName,
+}
+
+/// What a witness says about a key.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Verdict {
+    /// The intent to dispatch is recorded; it may run from now on.
+    Recorded,
+    /// The key is closed and never ran.
+    Closed,
+    /// The key may have run.
+    MayHaveRun,
+}
+
+/// A call that is passed on to the home of its key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ForwardHead {
+    /// Request method.
+    pub method: CompactString,
+    /// Path and query.
+    pub path: CompactString,
+    /// Request headers.
+    pub headers: Vec<(CompactString, CompactString)>,
+}
+
+/// Status and headers of a forwarded call's answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ResponseHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Response headers.
+    pub headers: Vec<(CompactString, CompactString)>,
+}
+
+/// Everything that one node says to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Message {
+    /// Opens a connection.
+    Hello(Hello),
+    /// The acceptor's nonce and its proof that it knows the secret.
+    Challenge {
+        /// Makes the handshake unrepeatable.
+        nonce: [u8; NONCE_BYTES],
+        /// Code over both nonces.
+        proof: [u8; 32],
+    },
+    /// The connector's proof that it knows the secret.
+    Proof {
+        /// Code over both nonces.
+        proof: [u8; 32],
+    },
+    /// The connection may be used.
+    Welcome,
+    /// A heartbeat; answered with [`Message::Ack`].
+    Ping(Gossip),
+    /// Asks for a heartbeat to a third node; answered with [`Message::Ack`] if that answers.
+    PingFor {
+        /// The node to probe.
+        target: InstanceName,
+        /// The sender's news.
+        gossip: Gossip,
+    },
+    /// The answer to a heartbeat.
+    Ack(Gossip),
+    /// Asks for the configuration if it is newer than `have`.
+    Pull {
+        /// The revision in force at the sender.
+        have: Revision,
+    },
+    /// A whole configuration: a snapshot record of the log, as JSON text.
+    State {
+        /// The record's text.
+        json: String,
+    },
+    /// The accepted changes after the receiver's revision.
+    Changes {
+        /// The log position that the sender has read up to.
+        position: LogOffset,
+        /// The change records in order, as JSON text.
+        changes: Vec<String>,
+    },
+    /// The sender has nothing newer.
+    UpToDate,
+    /// Offers a request; the stream stays open for the life of the request.
+    Offer(Box<Offer>),
+    /// Grants a slot.
+    Grant(Grant),
+    /// Refuses the offer for good.
+    Refused(Problem),
+    /// The receiver does not own the shard.
+    NotOwner,
+    /// The granted request has been slow to progress.
+    Slow,
+    /// Asks the home to cancel the granted request for more valuable work.
+    Cancel,
+    /// Ends a grant.
+    Finished(Finish),
+    /// Reports a request in progress to a new owner.
+    Adopt(Box<Adopted>),
+    /// Asks the witness to record the intent to dispatch.
+    Record(RequestKey),
+    /// Asks the witness to close a key whose home cannot be reached.
+    Close(RequestKey),
+    /// The witness's answer.
+    Witnessed(Verdict),
+    /// Opens a forwarded call.
+    Forward(Box<ForwardHead>),
+    /// Status and headers of a forwarded call.
+    Head(ResponseHead),
+    /// A part of a forwarded body.
+    Data(Vec<u8>),
+    /// The end of a forwarded body.
+    End,
+}
