Prove the path with separate processes

Cause: until now the path had run only inside one process.

Tests with real processes on loopback: a stream and service calls end to end; SIGTERM twice while 8 streams run; SIGKILL of a home; SIGSTOP of a home whose call is closed by its witness. Seen red first: the kill test waited for a dispatch at a node that was no home (a fault of the test: the caller's zone decides its home), so callers now name the node they are near.

--- a/crates/core/src/resolved.rs
+++ b/crates/core/src/resolved.rs
@@ -1,7 +1,9 @@
 //! The command line after checking: one value that says all there is to do.
 
 use clap::ArgMatches;
-use rwd_config::{Policy, Settings};
+#[cfg(feature = "lab")]
+use rwd_config::Policy;
+use rwd_config::Settings;
 #[cfg(feature = "lab")]
 use rwd_lab::bench::{BenchSettings, Scenario};
 use rwd_types::{PresetName, Revision};
--- /dev/null
+++ b/crates/core/tests/processes/helper.rs
@@ -0,0 +1,355 @@
+//! Starts stand-ins and nodes as processes of their own and waits for what they say.
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+use rwd_lab::{Caller, CallerSettings, RequestSpec, Shape};
+use rwd_platform::HttpClient;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
+use std::time::Duration;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_redwingdrift");
+/// Far more than anything here takes; only a fault reaches it.
+const LONGEST: Duration = Duration::from_secs(60);
+pub const TOKEN: &str = "operator-token-of-the-tests";
+
+/// A child process whose output is read line by line.
+pub struct Process {
+    child: Child,
+    lines: Receiver<String>,
+}
+
+impl Process {
+    pub fn start(args: &[&str]) -> Self {
+        let mut child = Command::new(BINARY)
+            .args(args)
+            .env("REDWINGDRIFT_TOKEN", TOKEN)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let (tx, lines) = channel();
+        let out = child.stdout.take().expect("piped");
+        let err = child.stderr.take().expect("piped");
+        let err_tx = tx.clone();
+        std::thread::spawn(move || forward(BufReader::new(out), &tx));
+        std::thread::spawn(move || forward(BufReader::new(err), &err_tx));
+        Self { child, lines }
+    }
+
+    /// The first line from now on that holds all of `parts`.
+    pub fn line(&self, parts: &[&str]) -> String {
+        loop {
+            match self.lines.recv_timeout(LONGEST) {
+                Ok(line) if parts.iter().all(|p| line.contains(p)) => return line,
+                Ok(_) => (),
+                Err(RecvTimeoutError::Timeout) => panic!("no line with {parts:?}"),
+                Err(RecvTimeoutError::Disconnected) => panic!("ended before a line with {parts:?}"),
+            }
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([name, &pid]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        self.child.wait().expect("the child can be waited for")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn forward(lines: impl BufRead, tx: &std::sync::mpsc::Sender<String>) {
+    for line in lines.lines().map_while(Result::ok) {
+        if tx.send(line).is_err() {
+            return;
+        }
+    }
+}
+
+/// A stand-in and where it listens.
+pub struct StandIn {
+    _process: Process,
+    pub address: SocketAddr,
+}
+
+impl StandIn {
+    pub fn start(args: &[&str]) -> Self {
+        let args = [&["lab"], args, &["--listen", "127.0.0.1:0"]].concat();
+        let process = Process::start(&args);
+        let line = process.line(&["listening on "]);
+        let address = line.rsplit(' ').next().and_then(|a| a.parse().ok());
+        Self {
+            _process: process,
+            address: address.expect("the line ends with an address"),
+        }
+    }
+
+    pub async fn get(&self, path: &str) -> Value {
+        let req = Request::get(format!("http://{}{path}", self.address)).body(Full::default());
+        HttpClient::default()
+            .json(req.unwrap(), LONGEST)
+            .await
+            .unwrap()
+    }
+
+    pub async fn post(&self, path: &str, body: &Value) {
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}{path}", self.address))
+            .body(Full::new(Bytes::from(body.to_string())))
+            .unwrap();
+        let response = HttpClient::default().send(req).await.unwrap();
+        assert!(
+            response.status().is_success(),
+            "{path}: {}",
+            response.status()
+        );
+    }
+}
+
+/// A node and where callers reach it.
+pub struct NodeProcess {
+    pub process: Process,
+    pub http: SocketAddr,
+}
+
+/// Three nodes, two engines, one plain service and the platform.
+pub struct System {
+    pub engines: Vec<StandIn>,
+    pub service: StandIn,
+    pub log: StandIn,
+    pub instances: StandIn,
+    pub nodes: Vec<NodeProcess>,
+    pub dir: std::path::PathBuf,
+}
+
+impl System {
+    pub async fn start(name: &str) -> Self {
+        let dir = std::env::temp_dir().join(format!("rwd-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let mut system = Self {
+            engines: vec![StandIn::start(&["engine"]), StandIn::start(&["engine"])],
+            service: StandIn::start(&["service"]),
+            log: StandIn::start(&["log"]),
+            instances: StandIn::start(&["instances", "--lag-ms", "0"]),
+            nodes: Vec::new(),
+            dir,
+        };
+        for i in 0..3 {
+            system.start_node(i).await;
+        }
+        for node in &system.nodes {
+            wait_for_members(node.http, 3).await;
+        }
+        system.publish(&system.configuration());
+        for node in &system.nodes {
+            node.process.line(&["decision=configure"]);
+            wait_for_members(node.http, 3).await;
+        }
+        system
+    }
+
+    async fn start_node(&mut self, i: usize) {
+        let (http, peer) = (free_address(), free_address());
+        let settings = json!({
+            "instance": format!("n{i}"),
+            "zone": format!("zone-{i}"),
+            "http": http,
+            "peer": peer,
+            "secret": "shared-secret-of-the-tests",
+            "operator_token": TOKEN,
+            "platform": { "log": self.log.address, "instances": self.instances.address },
+            "address_ttl": 300,
+            "heartbeat": 100,
+            "probe_timeout": 500,
+            "suspicion": 1000,
+        });
+        let file = self.dir.join(format!("n{i}.json"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let instance = json!({
+            "name": format!("n{i}"), "role": "node", "state": "live",
+            "zone": format!("zone-{i}"), "http": http, "peer": peer,
+        });
+        self.instances.post("/lab/instances", &instance).await;
+        let process = Process::start(&["serve", "--settings", file.to_str().unwrap()]);
+        process.line(&["msg=\"serving\""]);
+        self.nodes.push(NodeProcess { process, http });
+    }
+
+    pub fn configuration(&self) -> Value {
+        let engine = |i: usize| {
+            json!({
+                "address": self.engines[i].address, "zone": format!("zone-{i}"), "class": "c",
+                "pools": ["m"], "slots": 8,
+            })
+        };
+        json!({
+            "preset": "ordinary",
+            "presets": { "ordinary": {}, "peak": {}, "maintenance": {} },
+            "zones": { "zone-0": "r", "zone-1": "r", "zone-2": "r" },
+            "tiers": {
+                "high": { "rank": 0, "deadline": 20000 },
+                "low": { "rank": 1, "deadline": 20000 },
+            },
+            "workspaces": { "w": { "key": "key-of-w" }, "v": { "key": "key-of-v" } },
+            "classes": { "c": { "prefill": 5000, "token_interval": 20 } },
+            "models": { "m": { "max_prompt": 1000, "max_output": 5000 } },
+            "services": { "desk": { "paths": { "confirm": { "idempotent": false } } } },
+            "targets": {
+                "e0": engine(0),
+                "e1": engine(1),
+                "s0": {
+                    "address": self.service.address, "zone": "zone-0", "pools": ["desk"], "slots": 8,
+                },
+            },
+        })
+    }
+
+    /// Publishes through the command line.
+    pub fn publish(&self, configuration: &Value) {
+        let file = self.dir.join("configuration.json");
+        std::fs::write(&file, configuration.to_string()).unwrap();
+        let node = self.nodes[0].http.to_string();
+        let args = ["publish", file.to_str().unwrap(), "--node", &node];
+        let process = Process::start(&args);
+        process.line(&["accepted"]);
+    }
+
+    /// A caller near one node, which is therefore the home of its requests.
+    pub fn caller_near(&self, node: usize) -> Caller {
+        self.caller(node, self.nodes.iter().map(|n| n.http).collect())
+    }
+
+    pub fn caller(&self, near: usize, nodes: Vec<SocketAddr>) -> Caller {
+        Caller::new(CallerSettings {
+            workspace: "w".into(),
+            key: "key-of-w".into(),
+            nodes,
+            zone: format!("zone-{near}"),
+            patience: Duration::from_secs(3),
+        })
+    }
+
+    /// How often each request ran on the engines.
+    pub async fn engine_counts(&self) -> Vec<u64> {
+        let mut counts = Vec::new();
+        for engine in &self.engines {
+            let value = engine.get("/lab/counts").await;
+            let runs = value.as_object().expect("counts by request");
+            counts.extend(runs.values().filter_map(Value::as_u64));
+        }
+        counts
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        // Nothing else uses the directory.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// Asks a node for its status until it sees `count` nodes with a known life.
+pub async fn wait_for_members(node: SocketAddr, count: usize) {
+    let give_up = std::time::Instant::now() + LONGEST;
+    while status(node).await["members"].as_array().map_or(0, Vec::len) != count {
+        assert!(
+            std::time::Instant::now() < give_up,
+            "members never came to {count}"
+        );
+        tokio::task::yield_now().await;
+    }
+}
+
+pub async fn status(node: SocketAddr) -> Value {
+    let req = Request::get(format!("http://{node}/admin/v1/status"))
+        .header("authorization", format!("Bearer {TOKEN}"))
+        .body(Full::default())
+        .unwrap();
+    HttpClient::default().json(req, LONGEST).await.unwrap()
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    listener
+        .local_addr()
+        .expect("a bound listener has an address")
+}
+
+pub fn completion(tag: &str, output: u64) -> RequestSpec {
+    RequestSpec {
+        tier: "high",
+        rank: 0,
+        pool: "m",
+        shape: Shape::Completion {
+            prompt: format!("a prompt for {tag}"),
+            max_tokens: output,
+            output,
+        },
+        deadline: Duration::from_secs(20),
+        tag: tag.into(),
+    }
+}
+
+pub fn call(tag: &str, idempotent: bool) -> RequestSpec {
+    RequestSpec {
+        tier: "high",
+        rank: 0,
+        pool: "desk",
+        shape: Shape::Service {
+            path: if idempotent { "lookup" } else { "confirm" },
+            idempotent,
+        },
+        deadline: Duration::from_secs(20),
+        tag: tag.into(),
+    }
+}
+
+/// A key of `home` itself: nodes are asked until one names it first.
+pub async fn keyed_call(home: SocketAddr, system: &System) -> String {
+    loop {
+        for node in &system.nodes {
+            let uri = format!("http://{}/v1/addresses?zone=zone-1", node.http);
+            let req = Request::get(uri).header("authorization", "Bearer key-of-w");
+            let req = req.body(Full::default()).unwrap();
+            let value: Value = HttpClient::default().json(req, LONGEST).await.unwrap();
+            if value["addresses"][0] == home.to_string() {
+                return format!("{}.1", value["key_prefix"].as_str().unwrap());
+            }
+        }
+    }
+}
+
+/// Sends a non-idempotent call under a key; returns what it says of `ran`, or "yes".
+pub async fn send_keyed(node: SocketAddr, key: &str) -> String {
+    let req = Request::post(format!("http://{node}/v1/services/desk/confirm"))
+        .header("authorization", "Bearer key-of-w")
+        .header("idempotency-key", key)
+        .body(Full::new(Bytes::from_static(b"{}")))
+        .unwrap();
+    let response = HttpClient::default().send_fresh(req).await.unwrap();
+    let whole = response.status().is_success();
+    let body = http_body_util::BodyExt::collect(response.into_body())
+        .await
+        .unwrap()
+        .to_bytes();
+    let value: Value = serde_json::from_slice(&body).unwrap();
+    match whole {
+        true => "yes".into(),
+        false => value["ran"].as_str().unwrap().into(),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/processes/main.rs
@@ -0,0 +1,105 @@
+//! The whole path with real processes on loopback.
+
+mod helper;
+
+use helper::{System, call, completion, wait_for_members};
+use rwd_lab::Outcome;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_and_service_calls_are_served_end_to_end() {
+    let system = System::start("path").await;
+    let caller = system.caller_near(0);
+    let record = caller.run(completion("stream", 20)).await;
+    assert_eq!(record.outcome, Outcome::Whole);
+    assert_eq!(record.tokens, 20);
+    for idempotent in [true, false] {
+        let record = caller.run(call("call", idempotent)).await;
+        assert_eq!(record.outcome, Outcome::Whole, "idempotent: {idempotent}");
+    }
+    assert_eq!(system.engine_counts().await, [1]);
+    let calls = system.service.get("/lab/counts").await;
+    let counts: Vec<_> = calls.as_object().unwrap().values().cloned().collect();
+    assert_eq!(counts, [1, 1]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_no_stream_and_ends_with_success() {
+    let mut system = System::start("stop").await;
+    let caller = std::sync::Arc::new(system.caller_near(0));
+    let mut streams = tokio::task::JoinSet::new();
+    for i in 0..8 {
+        let caller = caller.clone();
+        streams.spawn(async move { caller.run(completion(&format!("s{i}"), 150)).await });
+    }
+    system.nodes[0].process.line(&["decision=dispatch"]);
+    system.nodes[0].process.signal("-TERM");
+    system.nodes[0].process.signal("-TERM");
+    while let Some(record) = streams.join_next().await {
+        assert_eq!(record.unwrap().outcome, Outcome::Whole);
+    }
+    assert!(system.nodes[0].process.wait().success());
+    assert!(system.engine_counts().await.iter().all(|runs| *runs == 1));
+    // The others go on without it.
+    wait_for_members(system.nodes[1].http, 2).await;
+    let others = system.caller(0, vec![system.nodes[1].http, system.nodes[2].http]);
+    assert_eq!(
+        others.run(completion("after", 5)).await.outcome,
+        Outcome::Whole
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_home_leaves_no_request_run_twice() {
+    let mut system = System::start("kill").await;
+    let callers = [2, 2, 0].map(|near| std::sync::Arc::new(system.caller_near(near)));
+    let mut streams = tokio::task::JoinSet::new();
+    for i in 0..9 {
+        let caller = callers[i % 3].clone();
+        streams.spawn(async move { caller.run(completion(&format!("k{i}"), 100)).await });
+    }
+    system.nodes[2].process.line(&["decision=dispatch"]);
+    system.nodes[2].process.signal("-KILL");
+    system.nodes[2].process.wait();
+    let mut whole = 0;
+    while let Some(record) = streams.join_next().await {
+        match record.unwrap().outcome {
+            Outcome::Whole => whole += 1,
+            // The home took with it what it knew.
+            Outcome::Unknown { kind } => assert_eq!(kind, "home-lost"),
+            outcome => panic!("{outcome:?}"),
+        }
+    }
+    assert!(whole > 0);
+    assert!(system.engine_counts().await.iter().all(|runs| *runs == 1));
+    wait_for_members(system.nodes[0].http, 2).await;
+    wait_for_members(system.nodes[1].http, 2).await;
+    let others = system.caller(0, vec![system.nodes[0].http, system.nodes[1].http]);
+    assert_eq!(
+        others.run(completion("after", 5)).await.outcome,
+        Outcome::Whole
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_suspended_home_never_runs_a_call_that_its_witness_closed() {
+    let system = System::start("suspend").await;
+    let home = &system.nodes[1];
+    let keyed = helper::keyed_call(home.http, &system).await;
+    home.process.signal("-STOP");
+    // Another node finds the home silent and has the witness close the key.
+    let other = helper::send_keyed(system.nodes[0].http, &keyed).await;
+    assert!(matches!(other.as_str(), "no" | "unknown"), "{other}");
+    home.process.signal("-CONT");
+    let late = helper::send_keyed(home.http, &keyed).await;
+    let runs = system
+        .service
+        .get("/lab/counts")
+        .await
+        .as_object()
+        .unwrap()
+        .len();
+    match other.as_str() {
+        "no" => assert_eq!((late.as_str(), runs), ("no", 0)),
+        _ => assert!(runs <= 1),
+    }
+}
--- a/crates/lab/src/invariants.rs
+++ b/crates/lab/src/invariants.rs
@@ -51,8 +51,8 @@
         let (engine, service): (Vec<_>, Vec<_>) =
             once.partition(|r| r.tokens > 0 || is_engine(of(r)));
         Self {
-            dispatched_twice: count(engine.into_iter().filter(|r| twice(&r)).count()),
-            non_idempotent_twice: count(service.into_iter().filter(|r| twice(&r)).count()),
+            dispatched_twice: count(engine.into_iter().filter(twice).count()),
+            non_idempotent_twice: count(service.into_iter().filter(twice).count()),
             wrong_answers: count(
                 records
                     .iter()
