Keep slots and prompt time free for the most valuable tier

Cause of the top tier's first token at 4.2 s (p95): engines process prompts first come, first served, so a question granted to a target behind several long prompts waits for all of them; and with every slot in use the only choice is the target whose slot happens to come free.

Ruled out: waiting in the scheduler's queue (median wait of a top grant is under 30 ms in the decision log).

Change: one slot per target is kept for the top tier, and a target with more than 200 ms of unprocessed prompts gets no further work of lower tiers. Both are fields of the preset.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -86,6 +86,10 @@
     pub prefill_weight: u64,
     /// How many targets one shard of a pool holds at most.
     pub shard_targets: usize,
+    /// Slots of each target that only the most valuable tier may use.
+    pub reserved_slots: u32,
+    /// Unprocessed prompt work above which a target gets no further work of lower tiers.
+    pub prefill_backlog: Millis,
 }
 
 impl Default for Preset {
@@ -98,6 +102,8 @@
             cancel_lower: false,
             prefill_weight: 100,
             shard_targets: 32,
+            reserved_slots: 1,
+            prefill_backlog: Millis(200),
         }
     }
 }
--- a/crates/sched/src/pick.rs
+++ b/crates/sched/src/pick.rs
@@ -1,5 +1,6 @@
 //! Chooses which waiting offer gets which free target.
 
+use rwd_config::Preset;
 use rwd_types::{PoolName, TargetName, TierRank};
 use tokio::time::Instant;
 
@@ -34,20 +35,21 @@
 ///
 /// Tiers are strict: an offer is weighed only against others of its tier. Probes
 /// of unhealthy targets take the least valuable work instead.
-pub(crate) fn pick(shard: &ShardState, now: Instant, prefill_weight: f64) -> Option<Pick> {
-    let free = shard
-        .targets
-        .iter()
-        .filter_map(|(name, t)| Some((name, t, t.free_slot(now)?)));
-    let (probes, good): (Vec<Free>, Vec<Free>) = free.partition(|(_, _, probe)| probe.0);
+pub(crate) fn pick(shard: &ShardState, now: Instant, preset: &Preset) -> Option<Pick> {
     let ranks = shard.ranks();
-    let among = |rank: &TierRank, free: &[Free]| {
+    let among = |rank: &TierRank, probes: bool| {
+        let free = shard.targets.iter().filter_map(|(name, t)| {
+            let probe = t.free_slot(now, *rank, preset)?;
+            (probe.0 == probes).then_some((name, t, probe))
+        });
+        let free: Vec<Free> = free.collect();
         let queues = shard.queues.iter();
         let mut queues = queues.filter_map(|(name, q)| Some((name, q.tiers.get(rank)?)));
-        queues.find_map(|(pool, fair)| best(shard, pool, fair, *rank, free, now, prefill_weight))
+        queues.find_map(|(pool, fair)| best(shard, pool, fair, *rank, &free, now, preset))
     };
-    let regular = ranks.iter().find_map(|rank| among(rank, &good));
-    regular.or_else(|| ranks.iter().rev().find_map(|rank| among(rank, &probes)))
+    // A tier that no target takes now holds up the ones below it.
+    let regular = ranks.first().and_then(|rank| among(rank, false));
+    regular.or_else(|| ranks.iter().rev().find_map(|rank| among(rank, true)))
 }
 
 // The offer that loses least by going to a free target now rather than to the target that has
@@ -59,8 +61,9 @@
     tier: TierRank,
     free: &[Free],
     now: Instant,
-    prefill_weight: f64,
+    preset: &Preset,
 ) -> Option<Pick> {
+    let prefill_weight = preset.prefill_weight as f64 / 100.0;
     let holds = |t: &TargetState| t.target.pools.contains(pool);
     let free: Vec<_> = free.iter().filter(|(_, t, _)| holds(t)).collect();
     if free.is_empty() {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -237,10 +237,9 @@
         let now = Instant::now();
         let ids: Vec<_> = inner.shards.keys().cloned().collect();
         let preset = inner.cfg.preset_in_force();
-        let weight = preset.prefill_weight as f64 / 100.0;
         for id in ids {
             while let Some(shard) = inner.shards.get(&id) {
-                match pick(shard, now, weight) {
+                match pick(shard, now, &preset) {
                     Some(pick) => self.grant(inner, &id, pick, now),
                     None => break,
                 }
--- a/crates/sched/src/target_state.rs
+++ b/crates/sched/src/target_state.rs
@@ -1,7 +1,7 @@
 //! What the owner knows of one target.
 
 use indexmap::IndexMap;
-use rwd_config::{Class, Target};
+use rwd_config::{Class, Preset, Target};
 use rwd_types::{Millis, TierRank, Tokens};
 use rwd_wire::{Finish, Offer, Usage};
 use std::sync::Arc;
@@ -84,18 +84,36 @@
         }
     }
 
-    /// Whether a request may be sent now, and if so whether it is a probe.
-    pub fn free_slot(&self, now: Instant) -> Option<Probe> {
+    /// Whether a request of a tier may be sent now, and if so whether it is a probe.
+    pub fn free_slot(&self, now: Instant, tier: TierRank, preset: &Preset) -> Option<Probe> {
         let used = self.in_flight.len();
         match self.health {
             _ if self.leaving => None,
-            Health::Good if (used as f64) < self.slots.floor().max(1.0) => Some(Probe(false)),
+            Health::Good if self.takes(used, now, tier, preset) => Some(Probe(false)),
             Health::Straggler { next_probe } if used == 0 && now >= next_probe => Some(Probe(true)),
             Health::Down { until, .. } if now >= until && !self.probing() => Some(Probe(true)),
             _ => None,
         }
     }
 
+    // The most valuable tier may use every slot; the others leave some of them, and do not add
+    // to a backlog of prompts behind which it would have to wait.
+    fn takes(&self, used: usize, now: Instant, tier: TierRank, preset: &Preset) -> bool {
+        let slots = self.slots.floor().max(1.0);
+        let reserved = f64::from(preset.reserved_slots).min(slots - 1.0);
+        match tier {
+            TierRank(0) => (used as f64) < slots,
+            _ => {
+                (used as f64) < slots - reserved
+                    && self.prefill_wait(now) <= preset.prefill_backlog.duration()
+            }
+        }
+    }
+
+    fn prefill_wait(&self, now: Instant) -> Duration {
+        self.prefill_done.saturating_duration_since(now)
+    }
+
     /// Whether regular work goes to the target when it has a free slot.
     pub fn is_usable(&self) -> bool {
         !self.leaving && self.health == Health::Good
