Prove keys, frames, scheduling, membership and configuration by properties

Cause: nothing below the whole path had a proof yet.

The reader now keeps the judged position apart from the one it reads from, and hands over the former. - publishing test: a publisher whose record never shows up read the log in a busy loop, since its own read woke it. One expectation was wrong and is replaced by a stricter one: a workspace that was served before waits behind one that was not.

Ruled out: the limiter and the witness; their properties held from the start.

--- /dev/null
+++ b/crates/config/tests/errors.rs
@@ -0,0 +1,149 @@
+//! Wrong settings and configurations are refused with the place that is wrong.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rwd_config::{Configuration, Settings};
+use rwd_types::Revision;
+use serde_json::{Value, json};
+
+fn good() -> Value {
+    json!({
+        "preset": "ordinary",
+        "presets": { "ordinary": {}, "peak": { "token_interval": 50 } },
+        "zones": { "harju-a": "harju" },
+        "tiers": { "walker": { "rank": 0, "deadline": 5000 }, "tag": { "rank": 1, "deadline": 9000 } },
+        "workspaces": { "festival": { "key": "key-of-festival" } },
+        "classes": { "new": { "prefill": 5000, "token_interval": 20 } },
+        "models": { "assistant": { "max_prompt": 100, "max_output": 100 } },
+        "services": { "desk": { "paths": { "confirm": { "idempotent": false } } } },
+        "targets": {
+            "e1": {
+                "address": "127.0.0.1:1", "zone": "harju-a", "class": "new",
+                "pools": ["assistant"], "slots": 4,
+            },
+        },
+    })
+}
+
+fn refused(change: impl Fn(&mut Value)) -> String {
+    let mut value = good();
+    change(&mut value);
+    match Configuration::from_json(&value.to_string()) {
+        Ok(_) => "accepted".into(),
+        Err(e) => e.to_string(),
+    }
+}
+
+#[test]
+fn a_good_configuration_is_accepted() {
+    assert_eq!(refused(|_| ()), "accepted");
+}
+
+#[test]
+fn errors_name_the_json_path() {
+    let set = |path: &'static str, value: Value| {
+        refused(move |cfg| *cfg.pointer_mut(path).unwrap() = value.clone())
+    };
+    let add = |path: &'static str, key: &'static str, value: Value| {
+        refused(move |cfg| cfg.pointer_mut(path).unwrap()[key] = value.clone())
+    };
+    let cases = [
+        set("/preset", json!("maintenance")),
+        set("/preset", json!("weekend")),
+        set("/tiers", json!({})),
+        set("/tiers/tag/rank", json!(0)),
+        set("/tiers/walker/deadline", json!(0)),
+        set("/workspaces/festival/key", json!("short")),
+        add("/workspaces", "other", json!({ "key": "key-of-festival" })),
+        add(
+            "/workspaces",
+            "bad name",
+            json!({ "key": "key-of-another" }),
+        ),
+        set("/targets/e1/class", json!("old")),
+        set("/targets/e1/pools", json!(["assistant", "poet"])),
+        set("/targets/e1/address", json!("localhost")),
+        set("/targets/e1/slots", json!(-1)),
+        add("/targets/e1", "colour", json!("red")),
+        add("/presets/peak", "shard_targets", json!(0)),
+        add("/presets/peak", "policy", json!("random")),
+        add("", "drained_targets", json!(["e9"])),
+    ];
+    insta::assert_snapshot!(cases.join("\n"));
+}
+
+#[test]
+fn broken_json_names_line_and_column() {
+    let e = Configuration::from_json("{\"preset\": ordinary}").unwrap_err();
+    insta::assert_snapshot!(e);
+    assert!(Configuration::from_json(&format!("{} x", good())).is_err());
+}
+
+#[test]
+fn settings_are_checked() {
+    let refused = |text: &str| Settings::from_json(text).unwrap_err().to_string();
+    let cases = [
+        refused("{}"),
+        refused(r#"{"secret":"0123456789abcdef"}"#),
+        refused(
+            r#"{"secret":"0123456789abcdef","operator_token":"0123456789abcdef","max_body":1}"#,
+        ),
+        refused(r#"{"http":"nowhere"}"#),
+        refused(r#"{"instance":"a b"}"#),
+        refused(r#"{"platform":{"log":"127.0.0.1:1","instances":"127.0.0.1:2","extra":1}}"#),
+    ];
+    insta::assert_snapshot!(cases.join("\n"));
+    let good = r#"{"secret":"0123456789abcdef","operator_token":"0123456789abcdef"}"#;
+    assert!(Settings::from_json(good).is_ok());
+}
+
+#[test]
+fn a_change_that_does_not_fit_is_refused_and_changes_nothing() {
+    let base = good();
+    let mut next = good();
+    next["preset"] = json!("peak");
+    let patch = Configuration::diff(&base, &next);
+    let (value, cfg) = Configuration::patched(Revision(1), &base, &patch).unwrap();
+    assert_eq!(cfg.preset.to_string(), "peak");
+    assert_eq!(value, next);
+    assert!(Configuration::patched(Revision(1), &json!({}), &patch).is_err());
+}
+
+#[test]
+fn the_longest_path_rule_counts() {
+    let mut value = good();
+    value["services"]["desk"]["paths"]["confirm/test"] = json!({ "idempotent": true });
+    let cfg = Configuration::from_value(&value).unwrap();
+    let desk = "desk".parse().unwrap();
+    for (path, idempotent) in [
+        ("lookup", true),
+        ("confirm", false),
+        ("confirm/1", false),
+        ("confirm/test", true),
+    ] {
+        assert_eq!(cfg.idempotent(&desk, path), idempotent, "{path}");
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn any_text_is_read_without_panic(text in ".{0,200}") {
+        let _ = Configuration::from_json(&text);
+        let _ = Settings::from_json(&text);
+    }
+
+    #[test]
+    fn a_damaged_configuration_is_read_without_panic(at: usize, with: u8) {
+        let mut bytes = good().to_string().into_bytes();
+        let at = at % bytes.len();
+        bytes[at] = with;
+        let _ = Configuration::from_json(&String::from_utf8_lossy(&bytes));
+    }
+}
--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -60,7 +60,6 @@
     reader: Mutex<Reader>,
     in_force: watch::Sender<InForce>,
     pub(crate) look: Notify,
-    pub(crate) read: watch::Sender<u64>,
 }
 
 impl Control {
@@ -81,7 +80,6 @@
             reader: Mutex::default(),
             in_force: watch::Sender::default(),
             look: Notify::new(),
-            read: watch::Sender::new(0),
         }
     }
 
@@ -102,7 +100,7 @@
     /// The configuration in force as JSON, with its revision.
     pub fn snapshot(&self) -> Snapshot {
         let reader = self.lock();
-        reader.history.snapshot(reader.next)
+        reader.snapshot()
     }
 
     /// Reads the log until the task is dropped.
@@ -155,7 +153,6 @@
         if changed {
             self.changed().await;
         }
-        self.read.send_modify(|n| *n += 1);
         Ok(batch.next)
     }
 
@@ -233,7 +230,7 @@
     /// Answers a peer that pulls.
     pub fn answer_pull(&self, have: Revision) -> Message {
         let reader = self.lock();
-        let position = reader.next;
+        let position = reader.judged();
         match reader.history.changes_since(have) {
             _ if have >= reader.history.revision() => Message::UpToDate,
             Some(changes) => {
@@ -246,7 +243,7 @@
                 }
             }
             None => {
-                let snapshot = reader.history.snapshot(position);
+                let snapshot = reader.snapshot();
                 Message::State {
                     json: Record::Snapshot(snapshot).to_json(),
                 }
--- a/crates/control/src/publish.rs
+++ b/crates/control/src/publish.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::{Change, Control, Error, PublishId, Record, Result, STREAM, Verdict};
 
@@ -158,15 +158,14 @@
 
     async fn await_verdict(&self, id: &PublishId, base: Revision) -> Result<Published> {
         let give_up = Instant::now() + VERDICT_TIMEOUT;
-        let mut read = self.read.subscribe();
         while Instant::now() < give_up {
+            if let Err(e) = self.read_log(Duration::ZERO).await {
+                warn!(error:% = e; "cannot read the log for a verdict");
+            }
             if let Some(outcome) = self.settled(id, base) {
                 return outcome;
             }
-            if self.read_log(Duration::ZERO).await.is_err() {
-                let _ = timeout(LOOK_PAUSE, read.changed()).await;
-            }
-            let _ = timeout(LOOK_PAUSE, read.changed()).await;
+            sleep(LOOK_PAUSE).await;
         }
         Err(Error::Unresolved)
     }
--- a/crates/control/src/reader.rs
+++ b/crates/control/src/reader.rs
@@ -18,6 +18,8 @@
     pub history: History,
     /// The position to read from next.
     pub next: LogOffset,
+    // Every record before this position has been judged; with a gap it stays behind `next`.
+    judged: LogOffset,
     /// Whether the log has been read to its end.
     pub caught_up: bool,
     // Records that were never read are gone, so no change can be judged until a snapshot or a
@@ -34,6 +36,7 @@
         Self {
             history: History::default(),
             next: LogOffset(0),
+            judged: LogOffset(0),
             caught_up: false,
             gap: false,
             records_since_snapshot: 0,
@@ -50,7 +53,7 @@
             // All that is left has been read. What comes at the lost positions is new, or
             // known by its publish id.
             warn!(had = self.next.0, has = batch.next.0; "the log came back shorter");
-            self.next = batch.next;
+            self.go_to(batch.next);
             self.log_lacks_state = true;
             return;
         }
@@ -61,9 +64,10 @@
         }
         for record in &batch.records {
             match self.read_record(record, batch.first) {
-                Step::On => self.next = LogOffset(record.offset.0 + 1),
+                Step::On if self.gap => self.next = LogOffset(record.offset.0 + 1),
+                Step::On => self.go_to(LogOffset(record.offset.0 + 1)),
                 Step::Back(position) => {
-                    self.next = position;
+                    self.go_to(position);
                     self.caught_up = false;
                     return;
                 }
@@ -107,6 +111,7 @@
             }
             Ok(true) => {
                 self.gap = true;
+                self.judged = snapshot.position;
                 Step::On
             }
             Ok(false) if self.gap && snapshot.revision == own && snapshot.position >= first => {
@@ -148,11 +153,27 @@
         Ok(changed)
     }
 
+    // A peer's newer state was reached at a later position, unless the log has lost records.
     fn jump(&mut self, position: LogOffset) {
-        self.next = self.next.max(position);
+        self.go_to(self.judged.max(position));
         self.gap = false;
     }
 
+    fn go_to(&mut self, position: LogOffset) {
+        self.next = position;
+        self.judged = position;
+    }
+
+    /// The position up to which every record has been judged.
+    pub fn judged(&self) -> LogOffset {
+        self.judged
+    }
+
+    /// A snapshot of the configuration in force and the position that it accounts for.
+    pub fn snapshot(&self) -> Snapshot {
+        self.history.snapshot(self.judged)
+    }
+
     /// A snapshot to append, if one is due.
     pub fn due_snapshot(&mut self, period: Duration) -> Option<Snapshot> {
         let old = self.snapshot_at.elapsed() >= period && self.records_since_snapshot > 0;
@@ -164,7 +185,7 @@
         info!(revision:% = self.history.revision(), old, many, lacking = self.log_lacks_state; "a snapshot is due");
         self.snapshot_at = Instant::now();
         self.log_lacks_state = false;
-        Some(self.history.snapshot(self.next))
+        Some(self.snapshot())
     }
 
     /// Notes that a snapshot could not be appended.
--- /dev/null
+++ b/crates/control/tests/history.rs
@@ -0,0 +1,376 @@
+//! The verdict on every record is the same for every reader, whatever the log has lost.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rwd_control::{Change, History, PublishId, Reader, Record, Verdict};
+use rwd_platform::{Batch, LogRecord};
+use rwd_types::{LogOffset, Revision};
+use serde_json::{Value, json};
+
+fn configuration(deadline: u64) -> Value {
+    json!({
+        "preset": "ordinary",
+        "presets": { "ordinary": {} },
+        "zones": {},
+        "tiers": { "t": { "rank": 0, "deadline": deadline } },
+        "workspaces": {},
+    })
+}
+
+// A change that sets the whole configuration; `deadline` 0 makes it invalid.
+fn change(id: &str, base: u64, deadline: u64) -> Record {
+    Record::Change(Change {
+        id: PublishId(id.into()),
+        base: Revision(base),
+        by: format!("by-{id}").into(),
+        patch: json!([{ "op": "replace", "path": "", "value": configuration(deadline) }]),
+    })
+}
+
+/// A log in memory.
+#[derive(Clone, Default)]
+struct Records {
+    first: u64,
+    records: Vec<String>,
+}
+
+impl Records {
+    fn push(&mut self, record: &Record) {
+        self.records.push(record.to_json());
+    }
+
+    fn next(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn retain_from(&mut self, first: u64) {
+        let first = first.clamp(self.first, self.next());
+        self.records.drain(..(first - self.first) as usize);
+        self.first = first;
+    }
+
+    fn batch(&self, from: LogOffset, most: usize) -> Batch {
+        let start = from.0.max(self.first);
+        let offsets = (start..self.next()).take(most);
+        Batch {
+            first: LogOffset(self.first),
+            next: LogOffset(self.next()),
+            records: offsets
+                .map(|o| LogRecord {
+                    offset: LogOffset(o),
+                    data: self.records[(o - self.first) as usize].clone(),
+                })
+                .collect(),
+        }
+    }
+}
+
+fn read_all(reader: &mut Reader, log: &Records, most: usize) {
+    for _ in 0..10_000 {
+        let batch = log.batch(reader.next, most);
+        reader.read(&batch);
+        if reader.caught_up && reader.next.0 >= log.next() {
+            return;
+        }
+    }
+    panic!("the reader never comes to the end");
+}
+
+fn deadline(reader: &Reader) -> u64 {
+    let tier = reader.history.config().tiers.values().next();
+    tier.map_or(0, |t| t.deadline.0)
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_changes_on_one_base_the_first_wins_and_the_other_learns_who_won() {
+    let mut history = History::default();
+    for record in [change("a", 0, 10), change("b", 0, 20), change("a", 0, 10)] {
+        let Record::Change(change) = record else {
+            unreachable!()
+        };
+        history.judge(&change);
+    }
+    assert_eq!(history.revision(), Revision(1));
+    assert_eq!(
+        history.verdict(&PublishId("a".into())),
+        Some(&Verdict::Accepted(Revision(1)))
+    );
+    let lost = Verdict::Conflict {
+        in_force: Revision(1),
+        winner: "by-a".into(),
+    };
+    assert_eq!(history.verdict(&PublishId("b".into())), Some(&lost));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_invalid_change_is_rejected_and_its_base_stays_free() {
+    let mut log = Records::default();
+    log.push(&change("bad", 0, 0));
+    log.push(&change("good", 0, 5));
+    let mut reader = Reader::default();
+    read_all(&mut reader, &log, 10);
+    assert!(matches!(
+        reader.history.verdict(&PublishId("bad".into())),
+        Some(Verdict::Invalid(_))
+    ));
+    assert_eq!(deadline(&reader), 5);
+}
+
+#[tokio::test(start_paused = true)]
+async fn garbage_in_the_log_is_passed_over() {
+    let mut log = Records::default();
+    log.records.push("{\"kind\":\"change\"".into());
+    log.records.push("".into());
+    log.push(&change("a", 0, 7));
+    log.records.push("[1,2]".into());
+    let mut reader = Reader::default();
+    read_all(&mut reader, &log, 2);
+    assert_eq!(
+        (reader.history.revision(), deadline(&reader)),
+        (Revision(1), 7)
+    );
+}
+
+// A snapshot is written by a node that has read up to some position, and lands later. A new
+// reader that begins there must judge the records in between as everybody else did.
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_raced_by_a_change_leads_a_new_reader_to_the_same_state() {
+    let mut log = Records::default();
+    log.push(&change("a", 0, 1));
+    let mut writer = Reader::default();
+    read_all(&mut writer, &log, 10);
+    let snapshot = Record::Snapshot(writer.snapshot());
+    log.push(&change("b", 1, 2));
+    log.push(&snapshot);
+    // It would win if the snapshot were taken for the state at its place.
+    log.push(&change("c", 1, 3));
+    read_all(&mut writer, &log, 10);
+    log.retain_from(1);
+    let mut fresh = Reader::default();
+    read_all(&mut fresh, &log, 10);
+    assert_eq!((deadline(&writer), deadline(&fresh)), (2, 2));
+    assert_eq!(fresh.history.revision(), Revision(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_reader_that_missed_records_judges_nothing_until_the_gap_is_bridged() {
+    let mut log = Records::default();
+    log.push(&change("a", 0, 1));
+    let mut slow = Reader::default();
+    read_all(&mut slow, &log, 10);
+    let mut quick = Reader::default();
+    log.push(&change("b", 1, 2));
+    log.push(&change("c", 2, 3));
+    read_all(&mut quick, &log, 10);
+    log.retain_from(2);
+    // Made on revision 1: everybody else rejects it, and so must the reader that has a gap.
+    log.push(&change("late", 1, 9));
+    read_all(&mut slow, &log, 10);
+    assert_eq!((slow.history.revision(), deadline(&slow)), (Revision(1), 1));
+    read_all(&mut quick, &log, 10);
+    let changes: Vec<_> = quick
+        .history
+        .changes_since(Revision(1))
+        .unwrap()
+        .into_iter()
+        .cloned()
+        .collect();
+    assert!(slow.catch_up(&changes, quick.judged()).unwrap());
+    assert_eq!((slow.history.revision(), deadline(&slow)), (Revision(3), 3));
+    log.push(&change("d", 3, 4));
+    read_all(&mut slow, &log, 10);
+    assert_eq!(deadline(&slow), 4);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_log_that_comes_back_shorter_takes_nothing_back_and_gets_a_snapshot() {
+    let mut log = Records::default();
+    for i in 0..5 {
+        log.push(&change(&format!("c{i}"), i, i + 1));
+    }
+    let mut reader = Reader::default();
+    read_all(&mut reader, &log, 10);
+    log.records.truncate(2);
+    read_all(&mut reader, &log, 10);
+    assert_eq!(
+        (reader.history.revision(), deadline(&reader)),
+        (Revision(5), 5)
+    );
+    let snapshot = reader
+        .due_snapshot(std::time::Duration::from_secs(600))
+        .expect("due at once");
+    log.push(&Record::Snapshot(snapshot));
+    log.push(&change("next", 5, 6));
+    read_all(&mut reader, &log, 10);
+    let mut fresh = Reader::default();
+    read_all(&mut fresh, &log, 10);
+    for reader in [&reader, &fresh] {
+        assert_eq!(
+            (reader.history.revision(), deadline(reader)),
+            (Revision(6), 6)
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_known_from_a_peer_is_accepted_for_its_publisher_too() {
+    let mut log = Records::default();
+    log.push(&change("a", 0, 1));
+    let mut first = Reader::default();
+    read_all(&mut first, &log, 10);
+    let mut second = Reader::default();
+    let changes: Vec<_> = first
+        .history
+        .changes_since(Revision(0))
+        .unwrap()
+        .into_iter()
+        .cloned()
+        .collect();
+    second.catch_up(&changes, first.judged()).unwrap();
+    read_all(&mut second, &log, 10);
+    let verdict = second.history.verdict(&PublishId("a".into()));
+    assert_eq!(verdict, Some(&Verdict::Accepted(Revision(1))));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    // `stale` bases lose; a `double` is recorded twice.
+    Publish {
+        stale: u64,
+        double: bool,
+        valid: bool,
+    },
+    Read {
+        reader: usize,
+        most: usize,
+    },
+    Snapshot {
+        reader: usize,
+    },
+    Retain {
+        keep: u64,
+    },
+    Pull {
+        from: usize,
+        to: usize,
+    },
+    Restart {
+        reader: usize,
+    },
+}
+
+const READERS: usize = 3;
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..3_u64, any::<bool>(), any::<bool>())
+            .prop_map(|(stale, double, valid)| Step::Publish { stale, double, valid }),
+        4 => (0..READERS, 1..6_usize).prop_map(|(reader, most)| Step::Read { reader, most }),
+        1 => (0..READERS).prop_map(|reader| Step::Snapshot { reader }),
+        1 => (0..8_u64).prop_map(|keep| Step::Retain { keep }),
+        1 => (0..READERS, 0..READERS).prop_map(|(from, to)| Step::Pull { from, to }),
+        1 => (0..READERS).prop_map(|reader| Step::Restart { reader }),
+    ]
+}
+
+// What a peer hands over, as the wire carries it.
+fn pull(from: &Reader, to: &mut Reader) {
+    let have = to.history.revision();
+    if have >= from.history.revision() {
+        return;
+    }
+    match from.history.changes_since(have) {
+        Some(changes) => {
+            let changes: Vec<_> = changes.into_iter().cloned().collect();
+            to.catch_up(&changes, from.judged()).unwrap();
+        }
+        None => {
+            to.adopt(&from.snapshot()).unwrap();
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 600,
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    // The witness reader sees every record as it is appended and never loses any; it gives the
+    // true state of each revision.
+    #[test]
+    fn every_reader_has_the_true_state_of_its_revision_and_never_goes_back(
+        steps in proptest::collection::vec(step(), 1..60),
+    ) {
+        let rt = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
+        let _guard = rt.enter();
+        let mut log = Records::default();
+        let mut truth = Reader::default();
+        let mut by_revision = vec![0];
+        let mut readers: Vec<Reader> = (0..READERS).map(|_| Reader::default()).collect();
+        let mut least = [0; READERS];
+        let mut published = 0;
+        for step in steps {
+            match step {
+                Step::Publish { stale, double, valid } => {
+                    published += 1;
+                    let base = truth.history.revision().0.saturating_sub(stale);
+                    let record = change(&format!("p{published}"), base, if valid { published } else { 0 });
+                    for _ in 0..=u8::from(double) {
+                        log.push(&record);
+                    }
+                }
+                Step::Read { reader, most } => {
+                    let batch = log.batch(readers[reader].next, most);
+                    readers[reader].read(&batch);
+                }
+                Step::Snapshot { reader } => {
+                    let reader = &readers[reader];
+                    if reader.history.revision() > Revision(0) {
+                        log.push(&Record::Snapshot(reader.snapshot()));
+                    }
+                }
+                Step::Retain { keep } => log.retain_from(log.next().saturating_sub(keep)),
+                Step::Pull { from, to } if from != to => {
+                    let mut to_reader = std::mem::take(&mut readers[to]);
+                    pull(&readers[from], &mut to_reader);
+                    readers[to] = to_reader;
+                }
+                Step::Pull { .. } => (),
+                Step::Restart { reader } => {
+                    readers[reader] = Reader::default();
+                    least[reader] = 0;
+                }
+            }
+            // Reads each record as it comes, before retention can drop it.
+            read_all(&mut truth, &log, 1000);
+            while by_revision.len() as u64 <= truth.history.revision().0 {
+                by_revision.push(deadline(&truth));
+            }
+            for (i, reader) in readers.iter().enumerate() {
+                let revision = reader.history.revision().0;
+                prop_assert!(revision >= least[i], "went back");
+                least[i] = revision;
+                prop_assert!((revision as usize) < by_revision.len(), "ahead of the truth");
+                prop_assert_eq!(deadline(reader), by_revision[revision as usize]);
+            }
+        }
+        // With the log whole for long enough, everybody comes to the truth.
+        log.push(&Record::Snapshot(truth.snapshot()));
+        read_all(&mut truth, &log, 1000);
+        if truth.history.revision() > Revision(0) {
+            for reader in &mut readers {
+                read_all(reader, &log, 5);
+                prop_assert_eq!(reader.history.revision(), truth.history.revision());
+                prop_assert_eq!(deadline(reader), deadline(&truth));
+            }
+        }
+    }
+
+    #[test]
+    fn any_record_text_is_read_without_panic(text in ".{0,120}") {
+        let _ = Record::from_json(&text);
+    }
+}
--- a/crates/entry/src/stream_relay.rs
+++ b/crates/entry/src/stream_relay.rs
@@ -27,6 +27,8 @@
 const SLOW_FACTOR: u64 = 4;
 /// Least time without a token after which a stream is called slow.
 const LEAST_SLOW: Duration = Duration::from_millis(150);
+/// Longest time without a token before a stream is resumed once more.
+const MAX_PATIENCE: Duration = Duration::from_secs(16);
 /// Tokens after which the mean interval of a stream says something.
 const SLOW_SAMPLE: u64 = 6;
 
@@ -43,6 +45,9 @@
     tokens: u64,
     cached: Option<Tokens>,
     said_slow: bool,
+    // Doubles with every resume that brings no token, so that a slow target is not asked ever
+    // more often.
+    patience: Duration,
 }
 
 enum Pumped {
@@ -74,6 +79,7 @@
             tokens: 0,
             cached: None,
             said_slow: false,
+            patience: self.progress_timeout(),
         };
         relay.run().await
     }
@@ -115,6 +121,7 @@
             match self.resume().await {
                 Some(resumed) => {
                     failed = 0;
+                    self.patience = (self.patience * 2).min(MAX_PATIENCE);
                     response = Some(resumed);
                 }
                 None if failed + 1 < MAX_FAILED_RESUMES => {
@@ -154,7 +161,7 @@
                 Ok(None) => (),
                 Err(_) => return Pumped::Broken,
             }
-            let wake = progress + self.patience();
+            let wake = progress + self.next_check();
             tokio::select! {
                 part = response.next() => match part {
                     Ok(Some(part)) => {
@@ -176,7 +183,7 @@
                     return self.stop(abandoned()).await;
                 }
                 () = sleep_until(wake) => {
-                    if progress.elapsed() >= self.home.progress_timeout() {
+                    if progress.elapsed() >= self.patience {
                         return Pumped::Broken;
                     }
                     self.say_slow().await;
@@ -186,8 +193,8 @@
     }
 
     // How long to wait for the next part before anything is done about it.
-    fn patience(&self) -> Duration {
-        let whole = self.home.progress_timeout();
+    fn next_check(&self) -> Duration {
+        let whole = self.patience;
         match self.tokens {
             0 => whole,
             _ if self.said_slow => whole,
@@ -232,6 +239,7 @@
             self.home.parts.metrics.first_token_ms.record(waited, &[]);
         }
         self.last_token = Some(now);
+        self.patience = self.home.progress_timeout();
         self.tokens += 1;
         let decode = self.first_token.map_or(Duration::ZERO, |first| now - first);
         let slow = self.slow_after() * SLOW_SAMPLE as u32;
--- /dev/null
+++ b/crates/peer/tests/directory.rs
@@ -0,0 +1,192 @@
+//! Membership: news is believed in the right order, and a node that answers cannot be lost.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rwd_peer::{Directory, ListedInstance, View, rank};
+use rwd_types::{Incarnation, InstanceName, Revision};
+use rwd_wire::{Gossip, Liveness, MemberUpdate};
+use std::time::Duration;
+use tokio::time::advance;
+
+const SUSPICION: Duration = Duration::from_secs(1);
+
+fn news(name: &str, incarnation: u64, refutation: u32, liveness: Liveness) -> MemberUpdate {
+    MemberUpdate {
+        name: name.parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        refutation,
+        liveness,
+        leaving: false,
+        http: "127.0.0.1:1".parse().unwrap(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+    }
+}
+
+fn gossip(from: &str, updates: Vec<MemberUpdate>) -> Gossip {
+    Gossip {
+        own: news(from, 5, 0, Liveness::Alive),
+        revision: Revision(0),
+        updates,
+        digests: Vec::new(),
+    }
+}
+
+fn directory(name: &str) -> Directory {
+    Directory::new(news(name, 5, 0, Liveness::Alive))
+}
+
+fn alive(view: &View) -> Vec<&str> {
+    view.members.keys().map(InstanceName::as_str).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_suspect_that_does_not_refute_fails_and_one_that_does_stays() {
+    for refutes in [false, true] {
+        let d = directory("a");
+        d.absorb(&gossip("b", vec![]));
+        d.suspect(&"b".parse().unwrap());
+        assert_eq!(alive(&d.view()), ["a", "b"], "a suspect still counts");
+        if refutes {
+            let own = MemberUpdate {
+                refutation: 1,
+                ..news("b", 5, 0, Liveness::Alive)
+            };
+            d.absorb(&Gossip {
+                own,
+                ..gossip("b", vec![])
+            });
+        }
+        advance(SUSPICION).await;
+        d.expire(SUSPICION);
+        let expected: &[&str] = if refutes { &["a", "b"] } else { &["a"] };
+        assert_eq!(alive(&d.view()), expected, "refutes: {refutes}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_hears_of_its_own_death_refutes_it() {
+    let d = directory("a");
+    d.absorb(&gossip("b", vec![news("a", 5, 0, Liveness::Failed)]));
+    let own = d.own();
+    assert_eq!((own.refutation, own.liveness), (1, Liveness::Alive));
+    // Old news of an old rumour changes nothing.
+    d.absorb(&gossip("b", vec![news("a", 5, 0, Liveness::Suspect)]));
+    assert_eq!(d.own().refutation, 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_life_with_a_faster_clock_is_outranked() {
+    let d = directory("a");
+    d.absorb(&gossip("b", vec![news("a", 99, 0, Liveness::Alive)]));
+    assert_eq!(d.own().incarnation, Incarnation(100));
+    assert!(d.is_own_life(Incarnation(5)) && d.is_own_life(Incarnation(100)));
+    assert!(!d.is_own_life(Incarnation(99)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_failed_node_on_a_lagging_list_stays_failed_until_it_speaks() {
+    let d = directory("a");
+    let listed = ListedInstance {
+        name: "b".parse().unwrap(),
+        http: "127.0.0.1:1".parse().unwrap(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        leaving: false,
+    };
+    d.apply_list(std::slice::from_ref(&listed));
+    assert_eq!(alive(&d.view()), ["a", "b"]);
+    d.failed(&listed.name);
+    for _ in 0..10 {
+        advance(Duration::from_secs(30)).await;
+        d.expire(SUSPICION);
+        d.apply_list(std::slice::from_ref(&listed));
+        assert_eq!(alive(&d.view()), ["a"]);
+    }
+    d.absorb(&gossip("b", vec![]));
+    assert_eq!(alive(&d.view()), ["a", "b"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leaving_mark_of_the_list_ends_with_the_life_it_was_made_for() {
+    let d = directory("a");
+    let listed = ListedInstance {
+        name: "b".parse().unwrap(),
+        http: "127.0.0.1:1".parse().unwrap(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        leaving: true,
+    };
+    d.absorb(&gossip("b", vec![]));
+    d.apply_list(&[listed]);
+    assert_eq!(d.view().staying().count(), 1);
+    let next_life = Gossip {
+        own: news("b", 6, 0, Liveness::Alive),
+        ..gossip("b", vec![])
+    };
+    d.absorb(&next_life);
+    assert_eq!(d.view().staying().count(), 2);
+}
+
+#[test]
+fn a_lost_node_moves_only_its_own_keys() {
+    let members: Vec<_> = (0..7)
+        .map(|i| news(&format!("n{i}"), 1, 0, Liveness::Alive))
+        .collect();
+    let without: Vec<_> = members[1..].to_vec();
+    let gone: InstanceName = "n0".parse().unwrap();
+    let mut moved = 0;
+    for key in 0..2000 {
+        let before = &rank(key, members.iter())[0].name;
+        let after = &rank(key, without.iter())[0].name;
+        match *before == gone {
+            true => moved += 1,
+            false => assert_eq!(before, after),
+        }
+    }
+    // An even share is 2000 / 7 = 286.
+    assert!((200..380).contains(&moved), "{moved}");
+}
+
+fn update() -> impl Strategy<Value = MemberUpdate> {
+    let liveness = prop_oneof![
+        Just(Liveness::Alive),
+        Just(Liveness::Suspect),
+        Just(Liveness::Failed)
+    ];
+    ("[b-e]", 1..4_u64, 0..3_u32, liveness).prop_map(|(name, i, r, l)| news(&name, i, r, l))
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(15),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    // Whatever the order in which the same news arrives, nodes come to the same view of those
+    // that anybody ever saw alive.
+    #[test]
+    fn views_agree_whatever_the_order_of_the_news(
+        mut updates in proptest::collection::vec(update(), 1..20),
+        seed: u64,
+    ) {
+        let rt = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap();
+        rt.block_on(async {
+            let known: Vec<_> = ["b", "c", "d", "e"].map(|n| news(n, 0, 0, Liveness::Alive)).into();
+            updates.splice(0..0, known.clone());
+            let one = directory("a");
+            one.absorb(&gossip("b", updates.clone()));
+            let mut shuffled = updates.split_off(known.len());
+            let n = shuffled.len().max(1);
+            shuffled.rotate_left(seed as usize % n);
+            shuffled.reverse();
+            let two = directory("a");
+            two.absorb(&gossip("b", known));
+            two.absorb(&gossip("b", shuffled));
+            prop_assert_eq!(one.view(), two.view());
+            Ok(())
+        })?;
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/strangers.rs
@@ -0,0 +1,143 @@
+//! Whoever does not know the shared secret gets nothing from the peer port.
+
+use rwd_peer::{
+    ByteCounter, Directory, Exchange, Handler, LinkSettings, Links, ListedInstance, serve,
+};
+use rwd_types::{Incarnation, InstanceName, Secret};
+use rwd_wire::{Liveness, MemberUpdate, Message};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[derive(Default)]
+struct Echo {
+    handled: AtomicU64,
+}
+
+impl Handler for Echo {
+    async fn handle(&self, _from: InstanceName, first: Message, mut ex: Exchange) {
+        self.handled.fetch_add(1, Ordering::Relaxed);
+        ex.send_last(&first).await.unwrap();
+    }
+}
+
+async fn server(secret: &str) -> (SocketAddr, Arc<Echo>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let echo = Arc::new(Echo::default());
+    tokio::spawn(serve(
+        listener,
+        Secret::new(secret),
+        ByteCounter::default(),
+        echo.clone(),
+    ));
+    (address, echo)
+}
+
+fn links(secret: &str, to: SocketAddr) -> Links {
+    let own = MemberUpdate {
+        name: "a".parse().unwrap(),
+        incarnation: Incarnation(1),
+        refutation: 0,
+        liveness: Liveness::Alive,
+        leaving: false,
+        http: to,
+        peer: to,
+        zone: "z".parse().unwrap(),
+    };
+    let directory = Arc::new(Directory::new(own));
+    directory.apply_list(&[ListedInstance {
+        name: "b".parse().unwrap(),
+        http: to,
+        peer: to,
+        zone: "z".parse().unwrap(),
+        leaving: false,
+    }]);
+    let cfg = LinkSettings {
+        own: "a".parse().unwrap(),
+        secret: Secret::new(secret),
+        connect_timeout: LIMIT,
+        ping_period: LIMIT,
+        ping_timeout: LIMIT,
+    };
+    Links::new(cfg, directory, ByteCounter::default())
+}
+
+#[tokio::test]
+async fn a_peer_with_the_secret_is_answered() {
+    let (address, echo) = server("the right secret").await;
+    let links = links("the right secret", address);
+    let question = Message::Data(vec![7; 300_000]);
+    let answer = links
+        .ask(&"b".parse().unwrap(), &question, LIMIT)
+        .await
+        .unwrap();
+    assert_eq!(answer, question);
+    assert_eq!(echo.handled.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn a_peer_with_another_secret_is_not() {
+    let (address, echo) = server("the right secret").await;
+    let links = links("a wrong secret", address);
+    assert!(
+        links
+            .ask(&"b".parse().unwrap(), &Message::Welcome, LIMIT)
+            .await
+            .is_err()
+    );
+    assert_eq!(echo.handled.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test]
+async fn garbage_on_the_peer_port_is_closed_and_others_go_on() {
+    let (address, echo) = server("the right secret").await;
+    for garbage in [
+        &b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"[..],
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff",
+        &[0; 4096],
+        b"PRI * HTTP/2.0\r\n",
+    ] {
+        let mut tcp = TcpStream::connect(address).await.unwrap();
+        tcp.write_all(garbage).await.unwrap();
+        let mut answer = Vec::new();
+        // The server closes the connection; what it says before is HTTP/2's own goodbye.
+        let _ = tokio::time::timeout(LIMIT, tcp.read_to_end(&mut answer))
+            .await
+            .expect("closed");
+    }
+    assert_eq!(echo.handled.load(Ordering::Relaxed), 0);
+    let links = links("the right secret", address);
+    assert!(
+        links
+            .ask(&"b".parse().unwrap(), &Message::Welcome, LIMIT)
+            .await
+            .is_ok()
+    );
+}
+
+#[tokio::test]
+async fn a_link_to_a_peer_that_went_away_is_opened_anew() {
+    let (address, _) = server("the right secret").await;
+    let links = links("the right secret", address);
+    let to = "b".parse().unwrap();
+    for _ in 0..3 {
+        assert!(links.ask(&to, &Message::Welcome, LIMIT).await.is_ok());
+    }
+    let refused = links_to_nobody().await;
+    let e = refused
+        .ask(&to, &Message::Welcome, LIMIT)
+        .await
+        .unwrap_err();
+    assert!(e.is_refused());
+}
+
+async fn links_to_nobody() -> Links {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    links("the right secret", listener.local_addr().unwrap())
+}
--- /dev/null
+++ b/crates/sched/tests/sched/scheduling.rs
@@ -0,0 +1,332 @@
+//! What the scheduler grants, refuses and takes back.
+
+use crate::helper::{configuration, ended, offer, owner, scheduler, view, whole, with_blocks};
+use rwd_sched::{Decision, Scheduler, Ticket, Topology};
+use rwd_types::{Millis, ProblemKind, Ran, Tokens};
+use rwd_wire::{Adopted, Offer, Usage};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::advance;
+
+// The decision if there is one now.
+async fn now(ticket: &mut Ticket) -> Option<Decision> {
+    tokio::select! {
+        biased;
+        decision = ticket.decision() => Some(decision),
+        () = std::future::ready(()) => None,
+    }
+}
+
+async fn granted(ticket: &mut Ticket) -> String {
+    match now(ticket).await {
+        Some(Decision::Granted(grant)) => grant.target.to_string(),
+        other => panic!("{other:?}"),
+    }
+}
+
+async fn refused(ticket: &mut Ticket) -> ProblemKind {
+    match now(ticket).await {
+        Some(Decision::Refused(problem)) => {
+            assert_eq!(
+                problem.ran,
+                Ran::No,
+                "a refusal is always of work that did not run"
+            );
+            problem.kind
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+fn fill(s: &Arc<Scheduler>, slots: usize) -> Vec<Ticket> {
+    (0..slots).map(|_| s.offer(offer(0, "w"))).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn slots_are_granted_up_to_the_bound_and_again_when_they_are_free() {
+    let s = owner(&configuration(1, 2, |_| ()));
+    let mut first = s.offer(offer(0, "w"));
+    let mut second = s.offer(offer(0, "w"));
+    let mut third = s.offer(offer(0, "w"));
+    granted(&mut first).await;
+    granted(&mut second).await;
+    assert_eq!(now(&mut third).await, None);
+    first.finish(whole(20));
+    granted(&mut third).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_ticket_that_is_dropped_gives_its_slot_or_its_place_back() {
+    let s = owner(&configuration(1, 1, |_| ()));
+    let mut holder = s.offer(offer(0, "w"));
+    granted(&mut holder).await;
+    let withdrawn = s.offer(offer(0, "w"));
+    let mut next = s.offer(offer(0, "w"));
+    drop(withdrawn);
+    drop(holder);
+    granted(&mut next).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_more_valuable_tier_goes_first_whenever_it_came() {
+    let s = owner(&configuration(1, 1, |_| ()));
+    let mut holder = s.offer(offer(0, "w"));
+    granted(&mut holder).await;
+    let mut low = s.offer(offer(2, "w"));
+    let mut middle = s.offer(offer(1, "w"));
+    let mut high = s.offer(offer(0, "w"));
+    drop(holder);
+    granted(&mut high).await;
+    drop(high);
+    granted(&mut middle).await;
+    drop(middle);
+    granted(&mut low).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_queue_sheds_the_least_valuable_work_first() {
+    let s = owner(&configuration(1, 1, |cfg| {
+        cfg["presets"]["ordinary"]["queue_tokens"] = 360.into();
+    }));
+    let _running = fill(&s, 1);
+    let mut low = s.offer(offer(2, "w"));
+    let mut middle = s.offer(offer(1, "w"));
+    let mut high = s.offer(offer(0, "w"));
+    assert_eq!(now(&mut low).await, None);
+    // The fourth 120 tokens go over the bound of 360.
+    let mut another = s.offer(offer(1, "w"));
+    assert_eq!(refused(&mut low).await, ProblemKind::Shed);
+    let mut late_low = s.offer(offer(2, "w"));
+    assert_eq!(refused(&mut late_low).await, ProblemKind::Shed);
+    for kept in [&mut middle, &mut high, &mut another] {
+        assert_eq!(now(kept).await, None);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn work_that_is_refused_for_its_deadline_takes_all_lower_work_with_it() {
+    let s = owner(&configuration(1, 1, |_| ()));
+    let _running = fill(&s, 1);
+    let mut low = s.offer(offer(2, "w"));
+    let mut middle = s.offer(Offer {
+        time_left: Millis(2000),
+        ..offer(1, "w")
+    });
+    let mut high = s.offer(offer(0, "w"));
+    advance(Duration::from_millis(1900)).await;
+    s.tick();
+    assert_eq!(refused(&mut middle).await, ProblemKind::Deadline);
+    assert_eq!(refused(&mut low).await, ProblemKind::Shed);
+    assert_eq!(now(&mut high).await, None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_workspace_that_floods_its_tier_waits_behind_the_others() {
+    let s = owner(&configuration(1, 1, |_| ()));
+    let mut holder = s.offer(offer(1, "w"));
+    granted(&mut holder).await;
+    let mut flood: Vec<_> = (0..10).map(|_| s.offer(offer(1, "w"))).collect();
+    let mut other = s.offer(offer(1, "v"));
+    drop(holder);
+    // `w` has been served before and has ten more waiting.
+    granted(&mut other).await;
+    drop(other);
+    granted(&mut flood[0]).await;
+    let mut again = s.offer(offer(1, "v"));
+    drop(flood.remove(0));
+    granted(&mut again).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn equal_prefixes_meet_the_same_target() {
+    let s = owner(&configuration(4, 4, |_| ()));
+    let prefix: Vec<u64> = (1..40).collect();
+    let mut first = s.offer(with_blocks(offer(1, "w"), &prefix));
+    let target = granted(&mut first).await;
+    first.finish(whole(20));
+    for _ in 0..5 {
+        advance(Duration::from_secs(10)).await;
+        let mut again = s.offer(with_blocks(offer(1, "w"), &prefix));
+        assert_eq!(granted(&mut again).await, target);
+        again.finish(whole(20));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_found_less_cached_than_expected_loses_its_preference() {
+    let s = owner(&configuration(2, 4, |_| ()));
+    let prefix: Vec<u64> = (1..40).collect();
+    let mut first = s.offer(with_blocks(offer(1, "w"), &prefix));
+    let target = granted(&mut first).await;
+    first.finish(whole(20));
+    advance(Duration::from_secs(10)).await;
+    let mut second = s.offer(with_blocks(offer(1, "w"), &prefix));
+    assert_eq!(granted(&mut second).await, target);
+    second.finish(rwd_wire::Finish {
+        cached: Some(Tokens(0)),
+        ..whole(20)
+    });
+    let blocks: Vec<usize> = s.status()[0]
+        .targets
+        .iter()
+        .map(|t| t.cached_blocks)
+        .collect();
+    assert_eq!(blocks, [0, 0]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn leaving_targets_get_nothing_and_what_waits_goes_elsewhere() {
+    let cfg = configuration(2, 1, |_| ());
+    let s = owner(&cfg);
+    let mut first = s.offer(offer(0, "w"));
+    let leaving = granted(&mut first).await;
+    let mut other = s.offer(offer(0, "w"));
+    let staying = granted(&mut other).await;
+    let marked = [leaving.parse().unwrap()].into();
+    s.apply(&cfg, &Topology::new(&cfg, &view(&["n"]), &marked));
+    drop(first);
+    let mut waits = s.offer(offer(0, "w"));
+    assert_eq!(
+        now(&mut waits).await,
+        None,
+        "the free slot belongs to a leaving target"
+    );
+    drop(other);
+    assert_eq!(granted(&mut waits).await, staying);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_scheduler_that_loses_a_shard_says_so_to_all_that_wait() {
+    let cfg = configuration(1, 1, |_| ());
+    let s = owner(&cfg);
+    let mut holder = s.offer(offer(0, "w"));
+    granted(&mut holder).await;
+    let mut waits = s.offer(offer(0, "w"));
+    s.apply(
+        &cfg,
+        &Topology::new(&cfg, &view(&["other"]), &Default::default()),
+    );
+    assert_eq!(now(&mut waits).await, Some(Decision::NotOwner));
+    let mut late = s.offer(offer(0, "w"));
+    assert_eq!(now(&mut late).await, Some(Decision::NotOwner));
+    // The end of a grant of a lost shard changes nothing.
+    holder.finish(whole(20));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_owner_counts_what_is_in_progress() {
+    let cfg = configuration(1, 2, |_| ());
+    let s = owner(&cfg);
+    let adopted = Adopted {
+        offer: offer(1, "w"),
+        target: "t0".parse().unwrap(),
+    };
+    let one = s.adopt(adopted.clone()).unwrap();
+    let _two = s.adopt(adopted.clone()).unwrap();
+    let mut waits = s.offer(offer(0, "w"));
+    assert_eq!(now(&mut waits).await, None);
+    one.finish(whole(20));
+    granted(&mut waits).await;
+    let unknown = Adopted {
+        target: "t9".parse().unwrap(),
+        ..adopted
+    };
+    assert!(s.adopt(unknown).is_none());
+    assert!(
+        scheduler()
+            .adopt(Adopted {
+                offer: offer(1, "w"),
+                target: "t0".parse().unwrap()
+            })
+            .is_none()
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_cannot_be_reached_is_tried_again_later_with_one_request() {
+    let s = owner(&configuration(1, 4, |_| ()));
+    let mut first = s.offer(offer(0, "w"));
+    granted(&mut first).await;
+    first.finish(ended(Usage::Unreachable));
+    let mut high = s.offer(offer(0, "w"));
+    let mut low = s.offer(offer(2, "w"));
+    assert_eq!(now(&mut high).await, None);
+    advance(Duration::from_millis(300)).await;
+    s.tick();
+    // The least valuable work is risked.
+    granted(&mut low).await;
+    assert_eq!(now(&mut high).await, None);
+    low.finish(whole(20));
+    granted(&mut high).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_straggler_gets_single_probes_until_it_has_recovered() {
+    let s = owner(&configuration(1, 4, |_| ()));
+    let mut tickets = fill(&s, 4);
+    for ticket in &mut tickets {
+        granted(ticket).await;
+    }
+    tickets[0].slow();
+    for ticket in tickets {
+        ticket.finish(whole(100));
+    }
+    let mut waiting: Vec<_> = (0..3).map(|_| s.offer(offer(1, "w"))).collect();
+    s.tick();
+    assert_eq!(
+        now(&mut waiting[0]).await,
+        None,
+        "no work right after it was found slow"
+    );
+    advance(Duration::from_secs(2)).await;
+    s.tick();
+    granted(&mut waiting[0]).await;
+    assert_eq!(now(&mut waiting[1]).await, None, "one probe at a time");
+    waiting.remove(0).finish(whole(100));
+    advance(Duration::from_secs(2)).await;
+    s.tick();
+    granted(&mut waiting[0]).await;
+    waiting.remove(0).finish(whole(20));
+    // Recovered: all slots are in use again.
+    let mut all = fill(&s, 4);
+    granted(&mut waiting[0]).await;
+    for ticket in &mut all[..3] {
+        granted(ticket).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn running_work_is_cancelled_for_more_valuable_work_only_if_the_preset_says_so() {
+    for allowed in [false, true] {
+        let s = owner(&configuration(1, 1, |cfg| {
+            cfg["presets"]["ordinary"]["cancel_lower"] = allowed.into();
+        }));
+        let mut low = s.offer(offer(2, "w"));
+        granted(&mut low).await;
+        let _high = s.offer(offer(0, "w"));
+        let cancelled = tokio::select! {
+            biased;
+            () = low.cancelled() => true,
+            () = std::future::ready(()) => false,
+        };
+        assert_eq!(cancelled, allowed);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_deadline_that_an_idle_target_could_not_meet_is_refused_at_once() {
+    let s = owner(&configuration(1, 1, |_| ()));
+    let mut low = s.offer(Offer {
+        time_left: Millis(60_000),
+        ..offer(2, "w")
+    });
+    granted(&mut low).await;
+    let mut waits = s.offer(offer(2, "w"));
+    // 20 tokens at 20 ms take 400 ms.
+    let mut hopeless = s.offer(Offer {
+        time_left: Millis(300),
+        ..offer(0, "w")
+    });
+    assert_eq!(refused(&mut hopeless).await, ProblemKind::Deadline);
+    assert_eq!(now(&mut waits).await, None, "this is no shedding");
+}
--- a/crates/types/src/key.rs
+++ b/crates/types/src/key.rs
@@ -153,7 +153,7 @@
         let [home, incarnation, session, witness, witness_incarnation] = parts[..] else {
             return Err(KeyError::Form);
         };
-        Ok(Self {
+        let prefix = Self {
             home: home.parse().map_err(|_| KeyError::Form)?,
             incarnation: Incarnation(parse_number(incarnation, 16)?),
             session: SessionId(parse_number(session, 16)?),
@@ -164,7 +164,12 @@
                     Incarnation(parse_number(witness_incarnation, 16)?),
                 )),
             },
-        })
+        };
+        // A second spelling of the same prefix would be a second name of the same request.
+        match prefix.to_string() == s {
+            true => Ok(prefix),
+            false => Err(KeyError::Form),
+        }
     }
 }
 
