Compose faults, planned stops and single failures; mend what they showed

Cause: the promises had no proof on the whole path.

A caller could not tell a waiting request from a silent connection, since the head of a stream came with its first token. Now the head goes out after a second at the latest and a comment every second; callers give up on silence and come back with their key. - key prefixes were issued in the name of a node whose life was not known yet (it was only on the instance list), so their home did not know them: unknown outcomes without any fault. Such a node is listed but named as no home, and new nodes are greeted at once.

--- a/crates/entry/src/api.rs
+++ b/crates/entry/src/api.rs
@@ -5,12 +5,13 @@
 use http::request::Parts;
 use http::{HeaderValue, Method, Response, StatusCode};
 use rwd_config::Configuration;
-use rwd_types::{KeyError, Problem, ProblemKind, RequestKey, WorkspaceName, ZoneName};
-use rwd_wire::{Message, Verdict};
+use rwd_types::{Incarnation, KeyError, Problem, ProblemKind, RequestKey, WorkspaceName, ZoneName};
+use rwd_wire::{MemberUpdate, Message, Verdict};
 use serde_json::json;
 use std::sync::Arc;
+use tokio::time::timeout;
 
-use crate::body::{events, json as json_response, with_type};
+use crate::body::{KEEPALIVE_PERIOD, events, json as json_response, with_type};
 use crate::call::{Kind, Work, bad, fingerprint, header};
 use crate::problem_json::problem_response;
 use crate::{Admission, Answer, End, Follow, Home, ResponseBody, addresses};
@@ -124,12 +125,19 @@
         let view = self.home.parts.directory.view();
         let homes = addresses::home_set(cfg, &view, workspace);
         let homes = addresses::for_caller(homes, &zone, self.home.next_turn());
+        // A node that has not spoken yet has no known life to name in a prefix.
+        let speaks = |m: &&MemberUpdate| m.incarnation > Incarnation(0);
+        let (homes, silent): (Vec<_>, Vec<_>) = homes.into_iter().partition(speaks);
         let Some(home) = homes.first() else {
             let detail = "every node is on its way out";
             return Err(Problem::not_run(ProblemKind::Unavailable, detail));
         };
         let prefix = addresses::issue(home, &view);
-        let listed: Vec<_> = homes.iter().map(|m| m.http.to_string()).collect();
+        let listed: Vec<_> = homes
+            .iter()
+            .chain(&silent)
+            .map(|m| m.http.to_string())
+            .collect();
         Ok(json_response(
             StatusCode::OK,
             &json!({
@@ -412,9 +420,10 @@
 ) -> Result<Response<ResponseBody>> {
     let mut response = match route {
         Route::Service(_) => whole_service(&mut follow).await?,
-        _ if wants_stream(body) => match follow.next().await {
-            Err(End::Failed(problem)) => problem_response(&problem, Some(&key)),
-            first => events(key.clone(), first, follow),
+        // A refusal that comes at once has an HTTP status of its own; later it is an event.
+        _ if wants_stream(body) => match timeout(KEEPALIVE_PERIOD, follow.next()).await {
+            Ok(Err(End::Failed(problem))) => problem_response(&problem, Some(&key)),
+            first => events(key.clone(), first.ok(), follow),
         },
         _ => whole_completion(&key, &mut follow).await?,
     };
--- a/crates/entry/src/body.rs
+++ b/crates/entry/src/body.rs
@@ -8,6 +8,8 @@
 use hyper::body::Frame;
 use rwd_types::Problem;
 use std::convert::Infallible;
+use std::time::Duration;
+use tokio::time::timeout;
 
 use crate::problem_json::problem_body;
 use crate::{AnswerEvent, End, Follow};
@@ -15,6 +17,8 @@
 /// The body of an answer to a caller.
 pub type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
 
+/// Period of the comments on a stream that has nothing to say.
+pub(crate) const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
 /// What the last event of a whole stream says.
 const DONE: &str = "[DONE]";
 
@@ -38,23 +42,27 @@
     response
 }
 
-/// An answer as server-sent events; `first` has already been read from `follow`.
+/// An answer as server-sent events; `first` is what has already been read from `follow`.
+///
+/// While there is nothing to say a comment goes out every [`KEEPALIVE_PERIOD`], so that a caller
+/// can tell a waiting request from a silent connection.
 pub(crate) fn events(
     key: String,
-    first: Result<AnswerEvent, End>,
+    first: Option<Result<AnswerEvent, End>>,
     follow: Follow,
 ) -> Response<ResponseBody> {
-    let state = Some((Some(first), follow));
+    let state = Some((first, follow));
     let frames = stream::unfold((state, key), |(state, key)| async move {
         let (first, mut follow) = state?;
         let item = match first {
-            Some(item) => item,
-            None => follow.next().await,
+            Some(item) => Some(item),
+            None => timeout(KEEPALIVE_PERIOD, follow.next()).await.ok(),
         };
         let (text, state) = match item {
-            Ok(event) => (event_text(&event), Some((None, follow))),
-            Err(End::Whole { .. }) => (format!("data: {DONE}\n\n"), None),
-            Err(End::Failed(problem)) => (error_text(&problem, &key), None),
+            Some(Ok(event)) => (event_text(&event), Some((None, follow))),
+            Some(Err(End::Whole { .. })) => (format!("data: {DONE}\n\n"), None),
+            Some(Err(End::Failed(problem))) => (error_text(&problem, &key), None),
+            None => (": waiting\n\n".to_owned(), Some((None, follow))),
         };
         let frame = Ok::<_, Infallible>(Frame::data(Bytes::from(text)));
         Some((frame, (state, key)))
--- a/crates/lab/src/bench/load.rs
+++ b/crates/lab/src/bench/load.rs
@@ -1,5 +1,6 @@
 //! Offers a mix of requests to a system at a given rate.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::task::JoinSet;
@@ -37,11 +38,28 @@
     per_engine.iter().sum::<f64>() / 2.0
 }
 
+/// Where requests are sent.
+#[derive(Clone, Debug)]
+pub struct LoadTarget {
+    workload: Workload,
+    nodes: Vec<SocketAddr>,
+}
+
+impl LoadTarget {
+    /// The nodes of a system, as they are now.
+    pub fn of(cluster: &Cluster) -> Self {
+        Self {
+            workload: cluster.cfg.workload.clone(),
+            nodes: cluster.http_addresses(),
+        }
+    }
+}
+
 /// Sends requests as planned and returns what became of each.
-pub async fn drive(cluster: &Cluster, plan: &LoadPlan) -> Vec<RequestRecord> {
-    let workload = Arc::new(cluster.cfg.workload.clone());
-    let callers: Vec<_> = callers(cluster, &workload);
-    let callers = Arc::new(callers);
+pub async fn drive(target: LoadTarget, plan: LoadPlan) -> Vec<RequestRecord> {
+    let plan = &plan;
+    let workload = Arc::new(target.workload);
+    let callers = Arc::new(callers(&target.nodes, &workload));
     let records = Arc::new(Mutex::new(Vec::new()));
     let mut sources = JoinSet::new();
     for (i, mix) in workload.tiers.iter().enumerate() {
@@ -64,12 +82,12 @@
     std::mem::take(&mut *records)
 }
 
-fn callers(cluster: &Cluster, workload: &Workload) -> Vec<Caller> {
+fn callers(nodes: &[SocketAddr], workload: &Workload) -> Vec<Caller> {
     let caller = |(i, (workspace, _)): (usize, &(&str, f64))| {
         Caller::new(CallerSettings {
             workspace: (*workspace).to_owned(),
             key: Cluster::workspace_key(workspace),
-            nodes: cluster.http_addresses(),
+            nodes: nodes.to_vec(),
             zone: workload.zones[i % 3].to_owned(),
             patience: Duration::from_secs(4),
         })
--- a/crates/lab/src/bench/mod.rs
+++ b/crates/lab/src/bench/mod.rs
@@ -1,10 +1,12 @@
 //! The experiments.
 
 mod direct;
+mod disturb;
 mod load;
 mod process;
 mod scenario;
+mod slopes;
 
-pub use load::{LoadPlan, drive};
+pub use load::{LoadPlan, LoadTarget, drive};
 pub use process::ProcessUsage;
 pub use scenario::{BenchSettings, Scenario, policy_name, run};
--- a/crates/node/src/platform_tasks.rs
+++ b/crates/node/src/platform_tasks.rs
@@ -18,6 +18,8 @@
 const LIST_WAIT: Duration = Duration::from_secs(10);
 /// Pause after a failed read of the instance list.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// New nodes of one list that are probed at once.
+const GREETINGS: usize = 8;
 /// Period of the scheduler's own work.
 const SCHEDULER_PERIOD: Duration = Duration::from_millis(50);
 /// Scheduler periods between two publications of digests.
@@ -51,7 +53,12 @@
 
     fn apply_list(&self, instances: &[Instance]) {
         let nodes: Vec<_> = instances.iter().filter_map(listed_node).collect();
-        self.directory.apply_list(&nodes);
+        let fresh = self.directory.apply_list(&nodes);
+        // The first words of a node tell its life; a few are asked at once, the others by and by.
+        for name in fresh.into_iter().take(GREETINGS) {
+            let membership = self.membership.clone();
+            tokio::spawn(async move { membership.probe(&name).await });
+        }
         let own = nodes.iter().find(|n| n.name == self.cfg.instance);
         if own.is_some_and(|n| n.leaving) {
             self.leave();
--- a/crates/peer/src/directory.rs
+++ b/crates/peer/src/directory.rs
@@ -160,9 +160,9 @@
         self.lock().members.get(name).map(|m| m.news.peer)
     }
 
-    /// Takes in the platform's instance list.
-    pub fn apply_list(&self, list: &[ListedInstance]) {
-        self.change(|inner| inner.apply_list(list));
+    /// Takes in the platform's instance list; returns the nodes that were not known before.
+    pub fn apply_list(&self, list: &[ListedInstance]) -> Vec<InstanceName> {
+        self.change(|inner| inner.apply_list(list))
     }
 
     /// Takes in what a peer says; call for every gossip received.
@@ -272,7 +272,8 @@
         View { members }
     }
 
-    fn apply_list(&mut self, list: &[ListedInstance]) {
+    fn apply_list(&mut self, list: &[ListedInstance]) -> Vec<InstanceName> {
+        let mut fresh = Vec::new();
         for m in self.members.values_mut() {
             m.listed = false;
         }
@@ -283,11 +284,15 @@
                     m.listed = true;
                     m.list_leaving = listed.leaving;
                 }
-                None => self.insert(first_news(listed), listed.leaving, true),
+                None => {
+                    fresh.push(listed.name.clone());
+                    self.insert(first_news(listed), listed.leaving, true);
+                }
             }
         }
         // A node that the list does not show is not forgotten here: the list lags. It goes
         // when it stops answering.
+        fresh
     }
 
     fn insert(&mut self, news: MemberUpdate, list_leaving: bool, listed: bool) {
