Mirror a target's prefix cache; weigh more offers for a slot

Change: a class says how many tokens its cache holds, and the owner's index evicts as the engine does; 64 offers are weighed, 16 of one workspace, and an offer may be passed over 200 times (it was 8).

Ruled out: cache events as the cause; they arrive 1 s late, but an index that evicts by itself needs them only after a target's restart.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -126,6 +126,13 @@
     pub prefill: TokenRate,
     /// Time between two tokens of a stream when the target is not full.
     pub token_interval: Millis,
+    /// Prompt tokens that the prefix cache holds.
+    #[serde(default = "default_cache")]
+    pub cache: Tokens,
+}
+
+fn default_cache() -> Tokens {
+    Tokens(1 << 20)
 }
 
 /// A target: one model engine, or one instance of a plain service.
--- a/crates/sched/src/pick.rs
+++ b/crates/sched/src/pick.rs
@@ -9,11 +9,11 @@
 use crate::{FairQueue, Waiting, WaitingId};
 
 /// Offers that are weighed against one another for one slot.
-const WINDOW: usize = 16;
+const WINDOW: usize = 64;
 /// Offers of one workspace among them.
-const WINDOW_PER_WORKSPACE: usize = 4;
+const WINDOW_PER_WORKSPACE: usize = 16;
 /// An offer that was passed over this often is next.
-const MAX_PASSED_OVER: u32 = 8;
+const MAX_PASSED_OVER: u32 = 200;
 /// A later offer must save at least this many milliseconds of prompt work to be preferred.
 const LEAST_GAIN_MS: f64 = 1.0;
 
--- a/crates/sched/src/target_state.rs
+++ b/crates/sched/src/target_state.rs
@@ -75,7 +75,7 @@
             target,
             leaving: false,
             health: Health::Good,
-            cache: CacheIndex::default(),
+            cache: CacheIndex::new(class.map_or(Tokens(0), |c| c.cache)),
             in_flight: IndexMap::new(),
             interval: reference,
             reference,
