Ping and keep links only while they are used; pause after a failed accept

The process was out of files (20,000 on this machine; every node kept a link to every other), and a failed accept was tried again at once: 9.9 million log lines in a minute. At 390 nodes a link to everybody, pinged every second, would alone cost above 10 KB/s a node.

Change: a link is pinged only while an exchange is open on it and closed after 60 s without one; a failed accept waits 100 ms; a queue digest is sent on only when it says something new or half its life has passed.

The proof of a stranger has a test of its own: with the check taken out, the older test stayed green, because there the connecting side noticed first.

--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -15,11 +15,13 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::admin::Admin;
 use crate::node::Shared;
 
+/// Pause after a failed accept, which mostly means that files have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// How long a caller may take to send a request's head, and its body.
 const RECEIVE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -33,7 +35,7 @@
             }
             Err(e) => {
                 warn!(error:% = e; "cannot accept a caller");
-                tokio::task::yield_now().await;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/crates/peer/src/directory.rs
+++ b/crates/peer/src/directory.rs
@@ -225,9 +225,20 @@
         inner.members.keys().cloned().collect()
     }
 
-    /// Publishes the digest of an owned shard, if it says something new.
+    /// Publishes the digest of an owned shard, if it says something new or the last one is
+    /// about to be forgotten.
     pub fn publish_digest(&self, digest: Digest) {
-        self.lock().learn_digest(&digest);
+        let mut inner = self.lock();
+        let same = inner.digests.get(&digest.shard).is_some_and(|k| {
+            let known = Digest {
+                sequence: digest.sequence,
+                ..k.digest.clone()
+            };
+            known == digest && k.at.elapsed() < DIGEST_LIFETIME / 2
+        });
+        if !same {
+            inner.learn_digest(&digest);
+        }
     }
 
     /// The last digest of a shard, if it is recent.
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -5,6 +5,7 @@
 use h2::{Reason, RecvStream, SendStream};
 use rwd_wire::{FrameBuffer, Message, encode};
 use std::future::poll_fn;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -21,11 +22,15 @@
     rx: Incoming,
     frames: FrameBuffer,
     ended: bool,
+    // Counts the exchange among those of its link.
+    in_use: Option<Arc<()>>,
 }
 
 impl Exchange {
-    pub(crate) fn opened(tx: SendStream<Bytes>, rx: ResponseFuture) -> Self {
-        Self::new(tx, Incoming::Waiting(rx))
+    pub(crate) fn opened(tx: SendStream<Bytes>, rx: ResponseFuture, in_use: Arc<()>) -> Self {
+        let mut ex = Self::new(tx, Incoming::Waiting(rx));
+        ex.in_use = Some(in_use);
+        ex
     }
 
     pub(crate) fn accepted(tx: SendStream<Bytes>, rx: RecvStream) -> Self {
@@ -38,6 +43,7 @@
             rx,
             frames: FrameBuffer::default(),
             ended: false,
+            in_use: None,
         }
     }
 
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -9,17 +9,20 @@
 use rwd_types::{InstanceName, Secret};
 use rwd_wire::Message;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::{ByteCounter, Counted, Directory, Error, Exchange, Result, handshake};
 
 /// Flow-control window of a connection and of each stream, in bytes.
 pub(crate) const WINDOW_BYTES: u32 = 1 << 20;
 
+/// How long a link is kept without exchanges.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// What a node needs to open links.
 #[derive(Clone, Debug)]
 pub struct LinkSettings {
@@ -38,6 +41,8 @@
 struct Link {
     address: SocketAddr,
     tx: SendRequest<Bytes>,
+    // Every open exchange holds a clone.
+    in_use: Arc<()>,
 }
 
 type Slot = Arc<Mutex<Option<Link>>>;
@@ -108,15 +113,19 @@
         let slot = self.slot(to);
         let mut link = slot.lock().await;
         let reusable = link.take().filter(|l| l.address == address);
-        let mut tx = match reusable {
+        let (mut tx, in_use) = match reusable {
             Some(l) => match l.tx.ready().await {
-                Ok(tx) => tx,
+                Ok(tx) => (tx, l.in_use),
                 Err(_) => self.connect(to, address).await?,
             },
             None => self.connect(to, address).await?,
         };
-        let ex = request(&mut tx)?;
-        *link = Some(Link { address, tx });
+        let ex = request(&mut tx, &in_use)?;
+        *link = Some(Link {
+            address,
+            tx,
+            in_use,
+        });
         Ok(ex)
     }
 
@@ -131,7 +140,11 @@
         slots.swap_remove(to);
     }
 
-    async fn connect(&self, to: &InstanceName, address: SocketAddr) -> Result<SendRequest<Bytes>> {
+    async fn connect(
+        &self,
+        to: &InstanceName,
+        address: SocketAddr,
+    ) -> Result<(SendRequest<Bytes>, Arc<()>)> {
         let tcp = TcpStream::connect(address).await?;
         tcp.set_nodelay(true)?;
         let io = Counted::new(tcp, self.counter.clone());
@@ -141,38 +154,49 @@
             .handshake::<_, Bytes>(io)
             .await?;
         let pings = connection.ping_pong();
+        let in_use = Arc::new(());
+        let users = Arc::downgrade(&in_use);
         let cfg = self.cfg.clone();
         let peer = to.clone();
         tokio::spawn(async move {
             tokio::select! {
                 result = connection => debug!(peer:% = peer, ok = result.is_ok(); "link closed"),
-                () = watch(pings, &cfg) => debug!(peer:% = peer; "link went silent"),
+                reason = watch(pings, &cfg, &users) => debug!(peer:% = peer, reason; "closing link"),
             }
         });
-        let mut ex = request(&mut tx)?;
+        let mut ex = request(&mut tx, &in_use)?;
         handshake::connect(&mut ex, &self.cfg.secret, &self.cfg.own).await?;
-        Ok(tx)
+        Ok((tx, in_use))
     }
 }
 
-fn request(tx: &mut SendRequest<Bytes>) -> Result<Exchange> {
+fn request(tx: &mut SendRequest<Bytes>, in_use: &Arc<()>) -> Result<Exchange> {
     let mut req = Request::new(());
     *req.method_mut() = http::Method::POST;
     *req.uri_mut() = http::Uri::from_static("http://p/");
     let (response, send) = tx.send_request(req, false)?;
-    Ok(Exchange::opened(send, response))
+    Ok(Exchange::opened(send, response, in_use.clone()))
 }
 
-// Returns when the peer has stopped answering; dropping the connection then fails its streams.
-async fn watch(pings: Option<PingPong>, cfg: &LinkSettings) {
+// Returns when the peer has stopped answering an exchange, or when there has been none for long;
+// dropping the connection then fails what is left of it.
+async fn watch(pings: Option<PingPong>, cfg: &LinkSettings, users: &Weak<()>) -> &'static str {
     let Some(mut pings) = pings else {
         return std::future::pending().await;
     };
+    let mut used = Instant::now();
     loop {
         sleep(cfg.ping_period).await;
+        // One count is the link's own.
+        match users.strong_count() {
+            0 => return "replaced",
+            1 if used.elapsed() >= IDLE_TIMEOUT => return "idle",
+            1 => continue,
+            _ => used = Instant::now(),
+        }
         match timeout(cfg.ping_timeout, pings.ping(Ping::opaque())).await {
             Ok(Ok(_)) => (),
-            _ => return,
+            _ => return "silent",
         }
     }
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -12,11 +12,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::link::WINDOW_BYTES;
 use crate::{ByteCounter, Counted, Error, Exchange, Result, handshake};
 
+/// Pause after a failed accept, which mostly means that files have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// How long a stranger may take to open HTTP/2 and its first stream.
 const GREETING_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -50,7 +52,7 @@
             }
             Err(e) => {
                 warn!(error:% = e; "cannot accept a peer");
-                tokio::task::yield_now().await;
+                sleep(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/crates/peer/tests/strangers.rs
+++ b/crates/peer/tests/strangers.rs
@@ -141,3 +141,35 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     links("the right secret", listener.local_addr().unwrap())
 }
+
+// A stranger that does not care whether the node knows the secret, and makes up its own proof.
+#[tokio::test]
+async fn a_made_up_proof_opens_nothing() {
+    let (address, echo) = server("the right secret").await;
+    let tcp = TcpStream::connect(address).await.unwrap();
+    let (mut tx, connection) = h2::client::handshake(tcp).await.unwrap();
+    let connection = tokio::spawn(connection);
+    let req = || http::Request::post("http://p/").body(()).unwrap();
+    let (response, mut body) = tx.send_request(req(), false).unwrap();
+    let hello = rwd_wire::Hello {
+        version: rwd_wire::VERSION,
+        from: "a".parse().unwrap(),
+        nonce: [7; rwd_wire::NONCE_BYTES],
+    };
+    body.send_data(rwd_wire::encode(&Message::Hello(hello)).unwrap(), false)
+        .unwrap();
+    let mut answer = response.await.unwrap().into_body();
+    let challenge = answer.data().await.unwrap().unwrap();
+    assert!(matches!(
+        rwd_wire::decode(&challenge[4..]),
+        Ok(Message::Challenge { .. })
+    ));
+    let proof = rwd_wire::encode(&Message::Proof { proof: [9; 32] }).unwrap();
+    body.send_data(proof, true).unwrap();
+    // The node closes the connection without another word.
+    assert!(!matches!(answer.data().await, Some(Ok(_))));
+    let _ = tokio::time::timeout(LIMIT, connection)
+        .await
+        .expect("closed");
+    assert_eq!(echo.handled.load(Ordering::Relaxed), 0);
+}
