--- a/crates/core/src/flags.rs
+++ b/crates/core/src/flags.rs
@@ -92,10 +92,9 @@
     Command::new("bench")
         .about("Runs an experiment")
         .arg(
-            Arg::new("scenario")
-                .long("scenario")
-                .required(true)
-                .help("ordinary, month-end, straggler, fairness, drain, faults or slopes"),
+            Arg::new("scenario").long("scenario").required(true).help(
+                "ordinary, month-end, straggler, fairness, drain, faults, slopes or one-node",
+            ),
         )
         .arg(
             Arg::new("policy")
--- a/crates/lab/src/bench/mod.rs
+++ b/crates/lab/src/bench/mod.rs
@@ -3,6 +3,7 @@
 mod direct;
 mod disturb;
 mod load;
+mod one_node;
 mod process;
 mod scenario;
 mod slopes;
--- a/crates/lab/src/bench/scenario.rs
+++ b/crates/lab/src/bench/scenario.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::disturb::{self, Disturbed};
-use super::{LoadPlan, LoadTarget, ProcessUsage, direct, drive, slopes};
+use super::{LoadPlan, LoadTarget, ProcessUsage, direct, drive, one_node, slopes};
 use crate::{Cluster, ClusterSettings, Report, RequestRecord, Result, Workload, WorkloadName};
 
 /// What an experiment is about.
@@ -29,6 +29,8 @@
     Faults,
     /// What a node costs as the system grows.
     Slopes,
+    /// What one node carries on one core.
+    OneNode,
 }
 
 /// Load of the demo.
@@ -91,8 +93,10 @@
 ///
 /// Fails when the system cannot be started or brought together.
 pub async fn run(cfg: &BenchSettings) -> Result<Report> {
-    if cfg.scenario == Scenario::Slopes {
-        return slopes::run(cfg).await;
+    match cfg.scenario {
+        Scenario::Slopes => return slopes::run(cfg).await,
+        Scenario::OneNode => return one_node::run(cfg).await,
+        _ => (),
     }
     let cluster_cfg = ClusterSettings {
         nodes: cfg.nodes,
@@ -105,7 +109,7 @@
     let mut measure = Measure::start(&cluster);
     let load = match cfg.scenario {
         Scenario::Demo => DEMO_LOAD,
-        Scenario::Ordinary | Scenario::Slopes => ORDINARY_LOAD,
+        Scenario::Ordinary | Scenario::Slopes | Scenario::OneNode => ORDINARY_LOAD,
         Scenario::MonthEnd => MONTH_END_LOAD,
         Scenario::Straggler => STRAGGLER_LOAD,
         Scenario::Fairness => FAIRNESS_LOAD,
--- a/crates/lab/src/bench/slopes.rs
+++ b/crates/lab/src/bench/slopes.rs
@@ -14,7 +14,7 @@
 use crate::{Cluster, ClusterSettings, Error, Report, Result, Workload};
 
 /// How long the system may settle before it is measured.
-const SETTLE_TIME: Duration = Duration::from_secs(4);
+const SETTLE_TIME: Duration = Duration::from_secs(20);
 /// Numbers of nodes.
 const NODES: [usize; 4] = [6, 24, 48, 72];
 /// Numbers of targets that are added.
@@ -31,6 +31,8 @@
     bytes: f64,
     core: f64,
     rss_mb: f64,
+    // Until a change was in force at all nodes.
+    spread_ms: f64,
 }
 
 struct Series {
@@ -137,12 +139,19 @@
     measure.stop(&cluster);
     let (bytes, core) = measure.per_node(nodes);
     let rss_mb = (ProcessUsage::now().rss_mb - before).max(0.0) / nodes;
+    cluster.wait_for_revision().await?;
+    let published = Instant::now();
+    let name = PresetName::Maintenance;
+    cluster.publish(&Edit::Preset { name }).await?;
+    cluster.wait_for_revision().await?;
+    let spread_ms = published.elapsed().as_secs_f64() * 1000.0;
     cluster.stop().await;
     Ok(Point {
         size,
         bytes,
         core,
         rss_mb,
+        spread_ms,
     })
 }
 
@@ -165,8 +174,8 @@
     for s in series {
         for p in &s.points {
             report.events.push(format!(
-                "{} {}: {:.0} B/s, {:.5} of a core, {:.2} MB a node",
-                s.name, p.size, p.bytes, p.core, p.rss_mb
+                "{} {}: {:.0} B/s, {:.5} of a core, {:.2} MB a node; a change everywhere in {:.0} ms",
+                s.name, p.size, p.bytes, p.core, p.rss_mb, p.spread_ms
             ));
         }
         let mut add = |what: &str, value: f64| {
