Try a silent peer link once more over a new connection

Cause: a test under load (all relays silenced while a stream runs) ended as home-lost: the node that passed the caller's retry on used its old, silent link to the home and gave up when that was closed, though a new one would have worked.

Change: a call with a key is passed on twice at most (its key makes that safe), a record at the witness is asked for twice, and a question without an answer in time drops its link. Ruled out: the home itself; it was alive and answering.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -142,7 +142,13 @@
         };
         let question = Message::Record(key.clone());
         let limit = self.cfg.witness_timeout;
-        match self.parts.links.ask(witness, &question, limit).await {
+        let links = &self.parts.links;
+        let answer = match links.ask(witness, &question, limit).await {
+            // Recording again is harmless, and a silent connection is no dead witness.
+            Err(_) => links.ask(witness, &question, limit).await,
+            answer => answer,
+        };
+        match answer {
             Ok(Message::Witnessed(Verdict::Recorded)) => Ok(()),
             Ok(Message::Witnessed(Verdict::Closed)) => Err(Problem::not_run(
                 ProblemKind::KeyClosed,
--- a/crates/entry/src/incoming.rs
+++ b/crates/entry/src/incoming.rs
@@ -155,17 +155,18 @@
         let known = view.members.get(home);
         let same_life = known.is_some_and(|m| m.incarnation == key.prefix.incarnation);
         if same_life && self.caller == Caller::Outside {
-            match self
-                .home
-                .forward(home, self.parts, self.body, Some(&key))
-                .await
-            {
-                Ok(response) => return Ok(response),
-                Err(e) => {
-                    debug!(request:% = key, error:% = e; "cannot pass a call on");
-                    self.home.probe(home);
+            // The key makes it safe to ask twice, the second time over a new connection.
+            for _ in 0..2 {
+                let passed = self
+                    .home
+                    .forward(home, self.parts, self.body, Some(&key))
+                    .await;
+                match passed {
+                    Ok(response) => return Ok(response),
+                    Err(e) => debug!(request:% = key, error:% = e; "cannot pass a call on"),
                 }
             }
+            self.home.probe(home);
         }
         match self.work()?.kind {
             Kind::Completion { .. } => Err(lost(Some("an engine may have run it"))),
--- /dev/null
+++ b/crates/lab/tests/contracts/main.rs
@@ -0,0 +1,284 @@
+//! Each edge against its stand-in: what the protocol promises, and each fault it may show.
+
+use bytes::Bytes;
+use rwd_lab::stand_in::{
+    Engine, EngineSettings, FaultSettings, InstanceStandIn, Ledger, LogStandIn, ServiceSettings,
+    ServiceStandIn,
+};
+use rwd_platform::{
+    Answer, Call, Error, HttpInstanceList, HttpLog, HttpTargets, Instance, InstanceList,
+    InstanceRole, InstanceState, Log, SseParser, Targets,
+};
+use rwd_types::LogOffset;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+const NOW: Duration = Duration::ZERO;
+const LONG: Duration = Duration::from_secs(30);
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+#[tokio::test]
+async fn the_log_gives_records_back_in_order_from_any_offset() {
+    let stand_in = LogStandIn::start(loopback()).await.unwrap();
+    let log = HttpLog::new(stand_in.address());
+    for i in 0..5_u64 {
+        assert_eq!(
+            log.append("s", format!("r{i}")).await.unwrap(),
+            LogOffset(i)
+        );
+    }
+    let batch = log.read("s", LogOffset(2), NOW).await.unwrap();
+    let offsets: Vec<_> = batch
+        .records
+        .iter()
+        .map(|r| (r.offset.0, r.data.as_str()))
+        .collect();
+    assert_eq!(offsets, [(2, "r2"), (3, "r3"), (4, "r4")]);
+    assert_eq!((batch.first, batch.next), (LogOffset(0), LogOffset(5)));
+    assert!(
+        log.read("other", LogOffset(0), NOW)
+            .await
+            .unwrap()
+            .records
+            .is_empty()
+    );
+    stand_in.retain(2);
+    let batch = log.read("s", LogOffset(0), NOW).await.unwrap();
+    assert_eq!((batch.first, batch.records.len()), (LogOffset(3), 2));
+    stand_in.truncate(1);
+    assert_eq!(
+        log.read("s", LogOffset(5), NOW).await.unwrap().next,
+        LogOffset(4)
+    );
+}
+
+#[tokio::test]
+async fn a_reader_that_waits_gets_the_next_record_as_it_comes() {
+    let stand_in = LogStandIn::start(loopback()).await.unwrap();
+    let log = HttpLog::new(stand_in.address());
+    let reader = log.clone();
+    let waiting = tokio::spawn(async move { reader.read("s", LogOffset(0), LONG).await });
+    log.append("s", "news".into()).await.unwrap();
+    assert_eq!(waiting.await.unwrap().unwrap().records[0].data, "news");
+}
+
+#[tokio::test]
+async fn each_fault_of_the_log_shows_as_an_error_or_not_at_all() {
+    let with = |change: fn(&mut FaultSettings)| {
+        let mut faults = FaultSettings::default();
+        change(&mut faults);
+        faults
+    };
+    let cases = [
+        ("down", with(|f| f.down = true), false, 0),
+        ("answer lost", with(|f| f.lose_answers = 1), false, 1),
+        ("doubled", with(|f| f.double_appends = 1), true, 2),
+        ("lagging", with(|f| f.lag_records = 1), true, 0),
+    ];
+    for (name, faults, answered, shown) in cases {
+        let stand_in = LogStandIn::start(loopback()).await.unwrap();
+        let log = HttpLog::new(stand_in.address());
+        stand_in.faults().set(faults.clone());
+        assert_eq!(
+            log.append("s", "r".into()).await.is_ok(),
+            answered,
+            "{name}"
+        );
+        if !faults.down {
+            let batch = log.read("s", LogOffset(0), NOW).await.unwrap();
+            assert_eq!(batch.records.len(), shown, "{name}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn the_instance_list_shows_changes_and_only_then_answers() {
+    let stand_in = InstanceStandIn::start(loopback(), NOW).await.unwrap();
+    let list = HttpInstanceList::new(stand_in.address());
+    let empty = list.list(0, NOW).await.unwrap();
+    assert!(empty.instances.is_empty());
+    let reader = list.clone();
+    let waiting = tokio::spawn(async move { reader.list(empty.version, LONG).await });
+    let instance = Instance {
+        name: "n1".into(),
+        role: InstanceRole::Node,
+        state: InstanceState::Live,
+        zone: "z".parse().unwrap(),
+        http: loopback(),
+        peer: Some(loopback()),
+    };
+    stand_in.put(instance.clone());
+    let shown = waiting.await.unwrap().unwrap();
+    assert_eq!(shown.instances, [instance.clone()]);
+    stand_in.leave("n1");
+    let left = list.list(shown.version, LONG).await.unwrap();
+    assert_eq!(
+        left.instances,
+        [Instance {
+            state: InstanceState::Leaving,
+            ..instance
+        }]
+    );
+    stand_in.remove("n1");
+    assert!(
+        list.list(left.version, LONG)
+            .await
+            .unwrap()
+            .instances
+            .is_empty()
+    );
+    stand_in.faults().set(FaultSettings {
+        down: true,
+        ..FaultSettings::default()
+    });
+    assert!(matches!(
+        list.list(0, NOW).await,
+        Err(Error::Status { status: 503 })
+    ));
+}
+
+fn completion(output: u64) -> Call {
+    let body = json!({
+        "model": "m", "prompt": "x".repeat(1024), "max_tokens": output, "lab_tag": "t",
+    });
+    Call {
+        path: "/v1/completions".into(),
+        stream: "stream-1".into(),
+        body: Bytes::from(body.to_string()),
+    }
+}
+
+// Ids of the events, the last data, and whether the body came to a regular end.
+async fn events(mut answer: Answer, most: usize) -> (Vec<u64>, String) {
+    let mut parser = SseParser::default();
+    let (mut ids, mut last) = (Vec::new(), String::new());
+    while ids.len() < most {
+        let Ok(Some(part)) = answer.next().await else {
+            break;
+        };
+        parser.extend(&part);
+        while let Some(event) = parser.next_event().unwrap() {
+            ids.extend(event.id);
+            last = event.data;
+        }
+    }
+    (ids, last)
+}
+
+async fn engine() -> (Engine, HttpTargets) {
+    let cfg = EngineSettings {
+        step_ms: 1.0,
+        event_lag: NOW,
+        event_gap_every: 0,
+        ..EngineSettings::default()
+    };
+    let engine = Engine::start(loopback(), cfg, Arc::new(Ledger::default()))
+        .await
+        .unwrap();
+    (engine, HttpTargets::default())
+}
+
+#[tokio::test]
+async fn an_engine_streams_numbered_events_and_reports_what_was_cached() {
+    let (engine, targets) = engine().await;
+    let answer = targets.call(engine.address(), completion(5)).await.unwrap();
+    assert_eq!(
+        events(answer, 99).await,
+        (vec![1, 2, 3, 4, 5], "[DONE]".into())
+    );
+    let again = Call {
+        stream: "stream-2".into(),
+        ..completion(1)
+    };
+    let mut answer = targets.call(engine.address(), again).await.unwrap();
+    let text = String::from_utf8(answer.next().await.unwrap().unwrap().to_vec()).unwrap();
+    assert!(text.contains("\"cached_tokens\":255"), "{text}");
+    let cached = targets.cache_events(engine.address(), 0).await.unwrap();
+    assert_eq!(
+        cached.events.len(),
+        4,
+        "1024 bytes are 256 tokens are 4 blocks"
+    );
+    assert!(cached.events.iter().all(|e| e.stored) && cached.next > 0);
+    targets.load(engine.address()).await.unwrap();
+}
+
+#[tokio::test]
+async fn a_stream_is_resumed_after_the_last_event_and_cancelled_by_name() {
+    let (engine, targets) = engine().await;
+    let at = engine.address();
+    let answer = targets.call(at, completion(400)).await.unwrap();
+    let (seen, _) = events(answer, 3).await;
+    let last = *seen.last().unwrap();
+    let resumed = targets.resume(at, "stream-1", Some(last)).await.unwrap();
+    let (more, _) = events(resumed, 2).await;
+    assert_eq!(more[0], last + 1);
+    targets.cancel(at, "stream-1").await.unwrap();
+    let rest = targets.resume(at, "stream-1", Some(0)).await.unwrap();
+    let (_, end) = events(rest, 1000).await;
+    assert_ne!(end, "[DONE]", "a cancelled stream is not whole");
+    assert!(matches!(
+        targets.cancel(at, "stream-1").await,
+        Err(Error::Status { status: 404 })
+    ));
+    assert_eq!(
+        targets.resume(at, "nobody", None).await.unwrap().status,
+        404
+    );
+}
+
+#[tokio::test]
+async fn an_answer_that_is_lost_after_the_engine_acted_can_be_fetched() {
+    let (engine, targets) = engine().await;
+    engine.faults().set(FaultSettings {
+        lose_answers: 1,
+        ..FaultSettings::default()
+    });
+    let lost = targets.call(engine.address(), completion(3)).await;
+    assert!(matches!(lost, Err(Error::Broken { .. })));
+    let answer = targets
+        .resume(engine.address(), "stream-1", None)
+        .await
+        .unwrap();
+    assert_eq!(events(answer, 99).await.0, [1, 2, 3]);
+    assert_eq!(engine.ledger().runs("stream-1").len(), 1);
+}
+
+#[tokio::test]
+async fn only_a_refused_connection_says_that_nothing_was_sent() {
+    let targets = HttpTargets::default();
+    let nobody = std::net::TcpListener::bind(loopback())
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let refused = targets.call(nobody, completion(1)).await;
+    assert!(matches!(refused, Err(Error::Connect { .. })), "{refused:?}");
+    let cfg = ServiceSettings::default();
+    let service = ServiceStandIn::start(loopback(), cfg, Arc::new(Ledger::default()))
+        .await
+        .unwrap();
+    service.faults().set(FaultSettings {
+        lose_answers: 1,
+        ..FaultSettings::default()
+    });
+    let call = || Call {
+        path: "/act".into(),
+        stream: "call-1".into(),
+        body: Bytes::from_static(b"{}"),
+    };
+    let lost = targets.call(service.address(), call()).await;
+    assert!(matches!(lost, Err(Error::Broken { .. })), "{lost:?}");
+    assert_eq!(service.ledger().runs("call-1").len(), 1, "it acted");
+    let answer = targets.call(service.address(), call()).await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert_eq!(
+        service.ledger().runs("call-1").len(),
+        2,
+        "and the client did not repeat it by itself"
+    );
+}
--- a/crates/lab/tests/failures/requests.rs
+++ b/crates/lab/tests/failures/requests.rs
@@ -269,3 +269,40 @@
         .await;
     assert_eq!(record.outcome, Outcome::Whole);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_staying_target_a_request_waits_and_is_not_run() {
+    let mut cluster = system().await;
+    for name in ["e0", "e1"] {
+        let edit = rwd_control::Edit::Drain {
+            name: name.into(),
+            on: true,
+        };
+        cluster.publish(&edit).await.unwrap();
+    }
+    cluster.wait_for_revision().await.unwrap();
+    let short = RequestSpec {
+        deadline: Duration::from_secs(1),
+        ..completion("none", 5)
+    };
+    let record = caller(&cluster).run(short).await;
+    assert!(
+        matches!(record.outcome, Outcome::NotRun { .. }),
+        "{:?}",
+        record.outcome
+    );
+    // The mark is taken back, and what waits is served.
+    let running = tokio::spawn({
+        let caller = caller(&cluster);
+        async move { caller.run(completion("waits", 5)).await }
+    });
+    let edit = rwd_control::Edit::Drain {
+        name: "e1".into(),
+        on: false,
+    };
+    cluster.publish(&edit).await.unwrap();
+    assert_eq!(running.await.unwrap().outcome, Outcome::Whole);
+    let runs = cluster.ledger.all();
+    assert!(runs.values().flatten().all(|r| r.target == "e1"));
+    assert_eq!(runs.len(), 1);
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -104,9 +104,14 @@
             let mut ex = self.open(to, question).await?;
             ex.recv().await?.ok_or(Error::Ended)
         };
-        timeout(limit, exchange)
-            .await
-            .unwrap_or(Err(Error::Timeout))
+        match timeout(limit, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                // The connection may have gone silent; the next exchange opens a new one.
+                self.forget(to);
+                Err(Error::Timeout)
+            }
+        }
     }
 
     async fn stream(&self, to: &InstanceName, address: SocketAddr) -> Result<Exchange> {
