Wait for a prompt that is being processed instead of doing it twice

Cause: a prompt counted as cached from its grant on, but an engine shares blocks only once they are processed, so requests with the same prefix granted within that second were each processed whole.

Change: prompts count as cached when they should be done; an offer of a lower tier whose prefix is being processed waits if that is quicker, and does not hold up the tiers below it meanwhile.

--- a/crates/sched/src/pick.rs
+++ b/crates/sched/src/pick.rs
@@ -37,19 +37,48 @@
 /// of unhealthy targets take the least valuable work instead.
 pub(crate) fn pick(shard: &ShardState, now: Instant, preset: &Preset) -> Option<Pick> {
     let ranks = shard.ranks();
-    let among = |rank: &TierRank, probes: bool| {
-        let free = shard.targets.iter().filter_map(|(name, t)| {
-            let probe = t.free_slot(now, *rank, preset)?;
-            (probe.0 == probes).then_some((name, t, probe))
-        });
-        let free: Vec<Free> = free.collect();
-        let queues = shard.queues.iter();
-        let mut queues = queues.filter_map(|(name, q)| Some((name, q.tiers.get(rank)?)));
-        queues.find_map(|(pool, fair)| best(shard, pool, fair, *rank, &free, now, preset))
-    };
-    // A tier that no target takes now holds up the ones below it.
-    let regular = ranks.first().and_then(|rank| among(rank, false));
-    regular.or_else(|| ranks.iter().rev().find_map(|rank| among(rank, true)))
+    for rank in &ranks {
+        let free = free_for(shard, *rank, now, preset, false);
+        if let Some(pick) = among(shard, *rank, &free, now, preset) {
+            return Some(pick);
+        }
+        // A tier that no target takes now holds up the ones below it; one that only waits for a
+        // prompt to be cached does not.
+        if free.is_empty() {
+            break;
+        }
+    }
+    ranks.iter().rev().find_map(|rank| {
+        let free = free_for(shard, *rank, now, preset, true);
+        among(shard, *rank, &free, now, preset)
+    })
+}
+
+// The targets with a slot for a tier: unhealthy ones if `probes`, healthy ones otherwise.
+fn free_for<'a>(
+    shard: &'a ShardState,
+    tier: TierRank,
+    now: Instant,
+    preset: &Preset,
+    probes: bool,
+) -> Vec<Free<'a>> {
+    let free = shard.targets.iter().filter_map(|(name, t)| {
+        let probe = t.free_slot(now, tier, preset)?;
+        (probe.0 == probes).then_some((name, t, probe))
+    });
+    free.collect()
+}
+
+fn among(
+    shard: &ShardState,
+    tier: TierRank,
+    free: &[Free],
+    now: Instant,
+    preset: &Preset,
+) -> Option<Pick> {
+    let queues = shard.queues.iter();
+    let mut queues = queues.filter_map(|(name, q)| Some((name, q.tiers.get(&tier)?)));
+    queues.find_map(|(pool, fair)| best(shard, pool, fair, tier, free, now, preset))
 }
 
 // The offer that loses least by going to a free target now rather than to the target that has
@@ -79,11 +108,17 @@
     for w in window {
         let cost = |t: &TargetState| t.cost(&w.offer, now, prefill_weight);
         let nearest = free.iter().min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))?;
-        let holders = shard.targets.values().filter(|t| holds(t) && t.is_usable());
-        let least = holders
+        let work = nearest.1.prefill_ms(&w.offer);
+        let holders = || shard.targets.values().filter(|t| holds(t) && t.is_usable());
+        let mut soon = holders().filter_map(|t| t.shared_soon(&w.offer, now));
+        // The same prompt is being processed: waiting for it is quicker than doing it twice.
+        if tier > TierRank(0) && !nearest.2.0 && soon.any(|ms| ms < work) {
+            continue;
+        }
+        let least = holders()
             .map(|t| t.prefill_ms(&w.offer))
-            .fold(f64::INFINITY, f64::min);
-        let regret = nearest.1.prefill_ms(&w.offer) - least.min(nearest.1.prefill_ms(&w.offer));
+            .fold(work, f64::min);
+        let regret = work - least;
         if found
             .as_ref()
             .is_none_or(|(least, _, _)| regret + LEAST_GAIN_MS <= *least)
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -238,6 +238,12 @@
         let ids: Vec<_> = inner.shards.keys().cloned().collect();
         let preset = inner.cfg.preset_in_force();
         for id in ids {
+            let targets = inner
+                .shards
+                .get_mut(&id)
+                .into_iter()
+                .flat_map(|s| s.targets.values_mut());
+            targets.for_each(|t| t.settle(now));
             while let Some(shard) = inner.shards.get(&id) {
                 match pick(shard, now, &preset) {
                     Some(pick) => self.grant(inner, &id, pick, now),
--- a/crates/sched/src/target_state.rs
+++ b/crates/sched/src/target_state.rs
@@ -2,8 +2,10 @@
 
 use indexmap::IndexMap;
 use rwd_config::{Class, Preset, Target};
-use rwd_types::{Millis, TierRank, Tokens};
+use rwd_platform::BLOCK_TOKENS;
+use rwd_types::{BlockHash, Millis, TierRank, Tokens};
 use rwd_wire::{Finish, Offer, Usage};
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -64,6 +66,14 @@
     prefill_per_ms: f64,
     // When the prompts sent so far will have been processed.
     prefill_done: Instant,
+    // Prompts that are being processed: an engine shares their blocks only afterwards.
+    pending: VecDeque<PendingPrompt>,
+}
+
+#[derive(Debug)]
+struct PendingPrompt {
+    ready: Instant,
+    blocks: Vec<BlockHash>,
 }
 
 impl TargetState {
@@ -81,6 +91,7 @@
             reference,
             prefill_per_ms: (prefill / 1000.0).max(0.001),
             prefill_done: Instant::now(),
+            pending: VecDeque::new(),
         }
     }
 
@@ -152,11 +163,40 @@
         offer.prompt.0.saturating_sub(cached) as f64 / self.prefill_per_ms
     }
 
+    /// Counts prompts that have been processed by now as cached.
+    pub fn settle(&mut self, now: Instant) {
+        while self.pending.front().is_some_and(|p| p.ready <= now) {
+            if let Some(prompt) = self.pending.pop_front() {
+                self.cache.store(&prompt.blocks);
+            }
+        }
+    }
+
+    /// Milliseconds until a prompt would be processed here if it waited for one that is being
+    /// processed and shares most of it; none if there is no such prompt.
+    pub fn shared_soon(&self, offer: &Offer, now: Instant) -> Option<f64> {
+        let times = self.pending.iter().filter_map(|p| {
+            let same = p
+                .blocks
+                .iter()
+                .zip(&offer.blocks)
+                .take_while(|(a, b)| a == b);
+            let shared = (same.count() * BLOCK_TOKENS) as u64;
+            let rest = offer.prompt.0.saturating_sub(shared) as f64 / self.prefill_per_ms;
+            let wait = p.ready.saturating_duration_since(now).as_secs_f64() * 1000.0;
+            (shared * 2 > offer.prompt.0).then_some(wait + rest)
+        });
+        times.min_by(f64::total_cmp)
+    }
+
     pub fn grant(&mut self, id: WaitingId, in_flight: InFlight) {
         let now = in_flight.granted;
         let prefill = Duration::from_secs_f64(self.prefill_ms(&in_flight.offer) / 1000.0);
         self.prefill_done = self.prefill_done.max(now) + prefill;
-        self.cache.store(&in_flight.offer.blocks);
+        self.pending.push_back(PendingPrompt {
+            ready: self.prefill_done,
+            blocks: in_flight.offer.blocks.clone(),
+        });
         if let (Health::Straggler { next_probe }, true) = (&mut self.health, in_flight.probe) {
             *next_probe = now + PROBE_PERIOD;
         }
