--- a/crates/lab/src/bench/scenario.rs
+++ b/crates/lab/src/bench/scenario.rs
@@ -244,6 +244,7 @@
     ) -> Report {
         let mut report = Report::new(&cfg.scenario.to_string(), records, &cluster.ledger);
         let (bytes, core) = self.per_node(cluster.nodes.len() as f64);
+        let tokens: u64 = records.iter().map(|r| r.tokens).sum();
         report.policy = policy_name(cfg.policy).to_owned();
         report.workload = cfg.workload.to_string();
         report.seed = cfg.seed;
@@ -253,6 +254,9 @@
         report.control.bytes_per_node_s = bytes;
         report.control.core_share = core;
         report.control.rss_mb = self.after.rss_mb;
+        let figures = &mut report.figures;
+        figures.insert("seconds measured".into(), self.took.as_secs_f64());
+        figures.insert("answer tokens".into(), tokens as f64);
         report.not_measured = ["cut_by_planned_stop", "late_to_leaving", "config_reverted"]
             .map(|field| format!("invariants.{field}"))
             .to_vec();
