Refuse lower work for a moment after higher work was shed

By the owner's order nothing was wrong; by the caller's clock a higher request was refused while a lower one, sent before, was kept.

Change: 250 ms after work of a tier was shed, lower work of the pool is refused. Seen red: lower_work_that_arrives_just_after_higher_work_was_shed_is_shed_too.

--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -199,6 +199,11 @@
             return self.refuse(inner, w, problem);
         }
         let queue = shard.queues.entry(pool.clone()).or_default();
+        let now = w.arrived;
+        if queue.sheds_below(tier, now) {
+            let problem = shed_problem("more valuable work of this pool had to be refused");
+            return self.refuse(inner, w, problem);
+        }
         queue.tiers.entry(tier).or_default().push(w);
         let mut shed = Vec::new();
         while queue.tokens() > bound {
@@ -206,7 +211,10 @@
             let fair = queue.tiers.get_mut(&lowest);
             let excess = fair.and_then(|q| q.excess().and_then(|e| q.remove(e)));
             match excess {
-                Some(w) => shed.push(w),
+                Some(w) => {
+                    queue.note_shed(w.offer.tier, now);
+                    shed.push(w);
+                }
                 None => break,
             }
         }
@@ -522,6 +530,7 @@
         };
         if let Some(w) = queue.remove(id) {
             out.push((w, ProblemKind::Deadline));
+            queue.note_shed(tier, now);
             let below = queue.take_below(tier);
             out.extend(below.into_iter().map(|w| (w, ProblemKind::Shed)));
         }
--- a/crates/sched/src/shard.rs
+++ b/crates/sched/src/shard.rs
@@ -4,14 +4,22 @@
 use rwd_config::Configuration;
 use rwd_types::{PoolName, TargetName, TierRank, Tokens};
 use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::time::Instant;
 
 use crate::target_state::TargetState;
 use crate::{FairQueue, Shard, Topology, Waiting, WaitingId};
 
+/// How long lower work is refused after higher work was shed: longer than any request is under
+/// way between its caller and its owner.
+const SHED_MEMORY: Duration = Duration::from_millis(250);
+
 /// The waiting work for one pool, by tier.
 #[derive(Debug, Default)]
 pub(crate) struct PoolQueue {
     pub tiers: BTreeMap<TierRank, FairQueue>,
+    // The most valuable tier that was shed lately, and when.
+    last_shed: Option<(TierRank, Instant)>,
 }
 
 impl PoolQueue {
@@ -19,6 +27,21 @@
         Tokens(self.tiers.values().map(|q| q.tokens().0).sum())
     }
 
+    /// Notes that work of a tier had to be shed.
+    pub fn note_shed(&mut self, tier: TierRank, now: Instant) {
+        match self.last_shed {
+            Some((rank, _)) if rank < tier && self.sheds_below(tier, now) => (),
+            _ => self.last_shed = Some((tier, now)),
+        }
+    }
+
+    /// Whether work of a tier must not be taken, because more valuable work was shed a moment ago.
+    pub fn sheds_below(&self, tier: TierRank, now: Instant) -> bool {
+        let recent = |at: Instant| now.saturating_duration_since(at) < SHED_MEMORY;
+        self.last_shed
+            .is_some_and(|(rank, at)| tier > rank && recent(at))
+    }
+
     /// The least valuable tier that waits.
     pub fn lowest(&self) -> Option<TierRank> {
         let mut waiting = self.tiers.iter().rev().filter(|(_, q)| !q.is_empty());
--- a/crates/sched/tests/sched/scheduling.rs
+++ b/crates/sched/tests/sched/scheduling.rs
@@ -330,3 +330,26 @@
     assert_eq!(refused(&mut hopeless).await, ProblemKind::Deadline);
     assert_eq!(now(&mut waits).await, None, "this is no shedding");
 }
+
+// A lower request that was already on its way when a higher one was shed must not be kept in its
+// place.
+#[tokio::test(start_paused = true)]
+async fn lower_work_that_arrives_just_after_higher_work_was_shed_is_shed_too() {
+    let s = owner(&configuration(1, 1, |cfg| {
+        cfg["presets"]["ordinary"]["queue_tokens"] = 240.into();
+    }));
+    let _running = fill(&s, 1);
+    let first = s.offer(offer(1, "w"));
+    let _second = s.offer(offer(1, "w"));
+    let mut shed = s.offer(offer(1, "w"));
+    assert_eq!(refused(&mut shed).await, ProblemKind::Shed);
+    drop(first);
+    let mut low = s.offer(offer(2, "w"));
+    assert_eq!(refused(&mut low).await, ProblemKind::Shed);
+    let mut same = s.offer(offer(1, "w"));
+    assert_eq!(now(&mut same).await, None, "there is room for its own tier");
+    drop(same);
+    advance(Duration::from_millis(300)).await;
+    let mut later = s.offer(offer(2, "w"));
+    assert_eq!(now(&mut later).await, None);
+}
