--- a/crates/lab/tests/contracts/main.rs
+++ b/crates/lab/tests/contracts/main.rs
@@ -114,7 +114,7 @@
     };
     stand_in.put(instance.clone());
     let shown = waiting.await.unwrap().unwrap();
-    assert_eq!(shown.instances, [instance.clone()]);
+    assert_eq!(shown.instances, std::slice::from_ref(&instance));
     stand_in.leave("n1");
     let left = list.list(shown.version, LONG).await.unwrap();
     assert_eq!(
