Test the operators' command line with real processes

Cause: check, publish, preset, drain, status, /healthz and /metrics had no test on the whole path. One table of ten commands with exit status and words; green.

--- a/crates/core/tests/processes/helper.rs
+++ b/crates/core/tests/processes/helper.rs
@@ -353,3 +353,15 @@
         false => value["ran"].as_str().unwrap().into(),
     }
 }
+
+/// The body of a page that is read without a token.
+pub async fn get(node: SocketAddr, path: &str) -> String {
+    let req = Request::get(format!("http://{node}{path}"))
+        .body(Full::default())
+        .unwrap();
+    let response = HttpClient::default().send_fresh(req).await.unwrap();
+    let body = http_body_util::BodyExt::collect(response.into_body())
+        .await
+        .unwrap();
+    String::from_utf8(body.to_bytes().to_vec()).unwrap()
+}
--- a/crates/core/tests/processes/main.rs
+++ b/crates/core/tests/processes/main.rs
@@ -103,3 +103,76 @@
         _ => assert!(runs <= 1),
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_check_publish_drain_and_look() {
+    let system = System::start("operate").await;
+    let node = system.nodes[0].http.to_string();
+    let good = system.dir.join("configuration.json");
+    let bad = system.dir.join("bad.json");
+    let mut wrong = system.configuration();
+    wrong["targets"]["e0"]["class"] = "unknown".into();
+    std::fs::write(&bad, wrong.to_string()).unwrap();
+    for (args, code, says) in [
+        (
+            vec!["check", good.to_str().unwrap()],
+            0,
+            "good configuration",
+        ),
+        (vec!["check", bad.to_str().unwrap()], 2, "targets.e0.class"),
+        (vec!["check", "no-such-file.json"], 1, "no-such-file.json"),
+        (
+            vec!["publish", bad.to_str().unwrap(), "--node", &node],
+            2,
+            "targets.e0.class",
+        ),
+        (
+            vec![
+                "publish",
+                good.to_str().unwrap(),
+                "--base",
+                "0",
+                "--node",
+                &node,
+            ],
+            1,
+            "first",
+        ),
+        (vec!["preset", "weekend", "--node", &node], 2, "weekend"),
+        (
+            vec!["preset", "peak", "--node", &node],
+            0,
+            "revision 2 accepted",
+        ),
+        (
+            vec!["drain", "e0", "--node", &node],
+            0,
+            "revision 3 accepted",
+        ),
+        (
+            vec!["status", "--node", &node],
+            0,
+            "leaving targets [\"e0\"]",
+        ),
+        (
+            vec!["preset", "peak", "--node", "127.0.0.1:1"],
+            1,
+            "cannot reach the node",
+        ),
+    ] {
+        let mut process = helper::Process::start(&args);
+        process.line(&[says]);
+        assert_eq!(process.wait().code(), Some(code), "{args:?}");
+    }
+    let health = helper::get(system.nodes[0].http, "/healthz").await;
+    assert!(health.contains("\"leaving\":false"), "{health}");
+    let caller = system.caller_near(0);
+    assert_eq!(
+        caller.run(completion("counted", 3)).await.outcome,
+        Outcome::Whole
+    );
+    let metrics = helper::get(system.nodes[0].http, "/metrics").await;
+    assert!(metrics.contains("requests_ended"), "{metrics}");
+    let refused = helper::get(system.nodes[0].http, "/admin/v1/status").await;
+    assert!(!refused.contains("members"), "the token is asked for");
+}
