Count a link's exchanges by themselves, so that a dropped link is still watched

Ruled out: the freeze (other tests of frozen homes passed) and the witness (it was asked only after the wait).

Change: exchanges are counted by guards of their own; a connection is pinged whenever there is one.

--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -5,10 +5,10 @@
 use h2::{Reason, RecvStream, SendStream};
 use rwd_wire::{FrameBuffer, Message, encode};
 use std::future::poll_fn;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
+use crate::keep_alive::Use;
 use crate::{Error, Result};
 
 enum Incoming {
@@ -23,19 +23,19 @@
     frames: FrameBuffer,
     ended: bool,
     // Counts the exchange among those of its connection.
-    _in_use: Arc<()>,
+    _in_use: Use,
 }
 
 impl Exchange {
-    pub(crate) fn opened(tx: SendStream<Bytes>, rx: ResponseFuture, in_use: Arc<()>) -> Self {
+    pub(crate) fn opened(tx: SendStream<Bytes>, rx: ResponseFuture, in_use: Use) -> Self {
         Self::new(tx, Incoming::Waiting(rx), in_use)
     }
 
-    pub(crate) fn accepted(tx: SendStream<Bytes>, rx: RecvStream, in_use: Arc<()>) -> Self {
+    pub(crate) fn accepted(tx: SendStream<Bytes>, rx: RecvStream, in_use: Use) -> Self {
         Self::new(tx, Incoming::Open(rx), in_use)
     }
 
-    fn new(tx: SendStream<Bytes>, rx: Incoming, in_use: Arc<()>) -> Self {
+    fn new(tx: SendStream<Bytes>, rx: Incoming, in_use: Use) -> Self {
         Self {
             tx,
             rx,
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Mutex;
 use tokio::time::timeout;
 
-use crate::keep_alive::{KeepAlive, watch};
+use crate::keep_alive::{KeepAlive, Uses, watch};
 use crate::{ByteCounter, Counted, Directory, Error, Exchange, Result, handshake};
 
 /// Flow-control window of a connection and of each stream, in bytes.
@@ -36,8 +36,7 @@
 struct Link {
     address: SocketAddr,
     tx: SendRequest<Bytes>,
-    // Every open exchange holds a clone.
-    in_use: Arc<()>,
+    uses: Uses,
 }
 
 type Slot = Arc<Mutex<Option<Link>>>;
@@ -113,19 +112,15 @@
         let slot = self.slot(to);
         let mut link = slot.lock().await;
         let reusable = link.take().filter(|l| l.address == address);
-        let (mut tx, in_use) = match reusable {
+        let (mut tx, uses) = match reusable {
             Some(l) => match l.tx.ready().await {
-                Ok(tx) => (tx, l.in_use),
+                Ok(tx) => (tx, l.uses),
                 Err(_) => self.connect(to, address).await?,
             },
             None => self.connect(to, address).await?,
         };
-        let ex = request(&mut tx, &in_use)?;
-        *link = Some(Link {
-            address,
-            tx,
-            in_use,
-        });
+        let ex = request(&mut tx, &uses)?;
+        *link = Some(Link { address, tx, uses });
         Ok(ex)
     }
 
@@ -144,7 +139,7 @@
         &self,
         to: &InstanceName,
         address: SocketAddr,
-    ) -> Result<(SendRequest<Bytes>, Arc<()>)> {
+    ) -> Result<(SendRequest<Bytes>, Uses)> {
         let tcp = TcpStream::connect(address).await?;
         tcp.set_nodelay(true)?;
         let io = Counted::new(tcp, self.counter.clone());
@@ -154,26 +149,26 @@
             .handshake::<_, Bytes>(io)
             .await?;
         let pings = connection.ping_pong();
-        let in_use = Arc::new(());
-        let users = Arc::downgrade(&in_use);
+        let uses = Uses::default();
+        let watched = uses.clone();
         let cfg = self.cfg.clone();
         let peer = to.clone();
         tokio::spawn(async move {
             tokio::select! {
                 result = connection => debug!(peer:% = peer, ok = result.is_ok(); "link closed"),
-                reason = watch(pings, cfg.keep_alive, &users) => debug!(peer:% = peer, reason; "closing link"),
+                reason = watch(pings, cfg.keep_alive, &watched) => debug!(peer:% = peer, reason; "closing link"),
             }
         });
-        let mut ex = request(&mut tx, &in_use)?;
+        let mut ex = request(&mut tx, &uses)?;
         handshake::connect(&mut ex, &self.cfg.secret, &self.cfg.own).await?;
-        Ok((tx, in_use))
+        Ok((tx, uses))
     }
 }
 
-fn request(tx: &mut SendRequest<Bytes>, in_use: &Arc<()>) -> Result<Exchange> {
+fn request(tx: &mut SendRequest<Bytes>, uses: &Uses) -> Result<Exchange> {
     let mut req = Request::new(());
     *req.method_mut() = http::Method::POST;
     *req.uri_mut() = http::Uri::from_static("http://p/");
     let (response, send) = tx.send_request(req, false)?;
-    Ok(Exchange::opened(send, response, in_use.clone()))
+    Ok(Exchange::opened(send, response, uses.begin()))
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -14,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::keep_alive::{KeepAlive, watch};
+use crate::keep_alive::{KeepAlive, Uses, watch};
 use crate::link::WINDOW_BYTES;
 use crate::{ByteCounter, Counted, Error, Exchange, Result, handshake};
 
@@ -78,13 +78,12 @@
         .initial_connection_window_size(WINDOW_BYTES);
     let greeting = timeout(GREETING_TIMEOUT, builder.handshake::<_, Bytes>(io));
     let mut h2 = greeting.await.map_err(|_| Error::Timeout)??;
-    let in_use = Arc::new(());
-    let users = Arc::downgrade(&in_use);
+    let uses = Uses::default();
     let pings = h2.ping_pong();
     let first = timeout(GREETING_TIMEOUT, h2.accept()).await;
     let (req, respond) = first.map_err(|_| Error::Timeout)?.ok_or(Error::Ended)??;
     let from = {
-        let mut ex = accept(req, respond, &in_use)?;
+        let mut ex = accept(req, respond, &uses)?;
         // The connection must be driven while the handshake runs on its first stream. A second
         // stream before its end comes from somebody who does not know the protocol.
         tokio::select! {
@@ -96,7 +95,7 @@
     let accept_all = async {
         while let Some(stream) = h2.accept().await {
             let (req, respond) = stream?;
-            let ex = accept(req, respond, &in_use)?;
+            let ex = accept(req, respond, &uses)?;
             let (from, handler) = (from.clone(), handler.clone());
             tokio::spawn(async move {
                 if let Err(e) = exchange(ex, from, handler).await {
@@ -109,7 +108,7 @@
     // Leaving drops the connection, which fails the exchanges that are still open on it.
     tokio::select! {
         result = accept_all => result,
-        reason = watch(pings, keep_alive, &users) => {
+        reason = watch(pings, keep_alive, &uses) => {
             debug!(peer:% = from, reason; "closing a peer's connection");
             Ok(())
         }
@@ -125,8 +124,8 @@
 fn accept(
     req: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
-    in_use: &Arc<()>,
+    uses: &Uses,
 ) -> Result<Exchange> {
     let tx = respond.send_response(Response::new(()), false)?;
-    Ok(Exchange::accepted(tx, req.into_body(), in_use.clone()))
+    Ok(Exchange::accepted(tx, req.into_body(), uses.begin()))
 }
