Take out code that nothing calls

Cause: read as a newcomer: a periodic look at the log that no task runs (the follower has its own), an error kind that is never made, a comment that was no longer true. Behaviour is unchanged.

--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -2,7 +2,7 @@
 
 use compact_str::{CompactString, ToCompactString};
 use derive_more::{Display, Error};
-use rwd_types::{Revision, TokenRate};
+use rwd_types::Revision;
 
 /// A failure and the JSON path at which it stands.
 #[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
@@ -42,8 +42,6 @@
         base: Revision,
         message: CompactString,
     },
-    #[display("limit {limit} is below one request of the model's largest prompt")]
-    LimitTooLow { limit: TokenRate },
 }
 
 impl Error {
--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -5,7 +5,6 @@
 use rwd_config::Configuration;
 use rwd_peer::{Directory, Exchange, Links, Membership, rank};
 use rwd_platform::Log;
-use rwd_timer::Timer;
 use rwd_types::{InstanceName, LogOffset, Revision};
 use rwd_wire::Message;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -284,15 +283,6 @@
             tokio::spawn(async move { membership.probe(&peer).await });
         }
     }
-
-    /// Looks at the log now and then at a period, for nodes whose log reader was told to wait.
-    pub async fn look_periodically(&self, timer: &Timer) {
-        let mut ticks = timer.every(SLOW_READ_PERIOD);
-        loop {
-            ticks.tick().await;
-            self.look.notify_one();
-        }
-    }
 }
 
 fn read_changes(texts: &[String]) -> Result<Vec<Change>> {
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -74,7 +74,7 @@
     // None once the decision has been sent.
     tx: Option<oneshot::Sender<Decision>>,
     cancel: Arc<Notify>,
-    // The target and the end of the lease, from the grant on.
+    // The target and the pool, from the grant on.
     granted: Option<(TargetName, PoolName)>,
 }
 
