Make callers in one place; take out what nothing reads

Found on reading the whole change once more: three places built the same caller of a system (the idle comparison, one-node, the failure tests) and two tests started and awaited a stream with the same 16 lines; they now call Cluster::caller and running_stream.

--- a/crates/config/src/configuration.rs
+++ b/crates/config/src/configuration.rs
@@ -245,12 +245,6 @@
         self.tiers.iter().max_by_key(|(_, t)| t.rank)
     }
 
-    /// The name of the tier at `rank`, if there is one.
-    pub fn tier_at(&self, rank: TierRank) -> Option<&TierName> {
-        let found = self.tiers.iter().find(|(_, t)| t.rank == rank);
-        found.map(|(name, _)| name)
-    }
-
     /// The region of a zone; a zone that is not listed is a region of its own.
     pub fn region(&self, zone: &ZoneName) -> RegionName {
         let own = || {
--- a/crates/lab/src/bench/direct.rs
+++ b/crates/lab/src/bench/direct.rs
@@ -9,8 +9,10 @@
 use std::time::{Duration, Instant};
 
 use crate::report::{Percentiles, percentiles};
-use crate::{Caller, CallerSettings, Cluster, RequestSpec, Shape};
+use crate::{Cluster, RequestSpec, Shape};
 
+/// How long the caller waits on one connection.
+const PATIENCE: Duration = Duration::from_secs(4);
 /// Pairs of requests that are compared.
 const PAIRS: u64 = 200;
 /// Answer tokens of each.
@@ -32,13 +34,7 @@
 pub(crate) async fn compare(cluster: &Cluster) -> Comparison {
     let workload = &cluster.cfg.workload;
     let workspace = workload.workspaces[0].0;
-    let caller = Caller::new(CallerSettings {
-        workspace: workspace.to_owned(),
-        key: Cluster::workspace_key(workspace),
-        nodes: cluster.http_addresses(),
-        zone: workload.zones[0].to_owned(),
-        patience: Duration::from_secs(4),
-    });
+    let caller = cluster.caller(workspace, workload.zones[0], PATIENCE);
     let client = HttpClient::default();
     let mut through = Vec::new();
     let mut direct = Vec::new();
--- a/crates/lab/src/bench/one_node.rs
+++ b/crates/lab/src/bench/one_node.rs
@@ -10,10 +10,12 @@
 use super::{BenchSettings, ProcessUsage};
 use crate::stand_in::FaultSettings;
 use crate::{
-    Caller, CallerSettings, Cluster, ClusterSettings, Outcome, Report, RequestRecord, RequestSpec,
-    Result, Shape, Workload,
+    Caller, Cluster, ClusterSettings, Outcome, Report, RequestRecord, RequestSpec, Result, Shape,
+    Workload,
 };
 
+/// How long a caller waits on one connection.
+const PATIENCE: Duration = Duration::from_secs(10);
 /// Calls in progress at the same time.
 const CALLERS: usize = 96;
 /// Requests that wait at the same time.
@@ -52,14 +54,7 @@
 
 fn caller(cluster: &Cluster) -> Caller {
     let workload = &cluster.cfg.workload;
-    let workspace = workload.workspaces[0].0;
-    Caller::new(CallerSettings {
-        workspace: workspace.to_owned(),
-        key: Cluster::workspace_key(workspace),
-        nodes: cluster.http_addresses(),
-        zone: workload.zones[0].to_owned(),
-        patience: Duration::from_secs(10),
-    })
+    cluster.caller(workload.workspaces[0].0, workload.zones[0], PATIENCE)
 }
 
 async fn call_as_fast_as_possible(cluster: &Cluster, time: Duration) -> u64 {
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -19,7 +19,7 @@
     Engine, EngineSettings, InstanceStandIn, Ledger, LogStandIn, ServiceSettings, ServiceStandIn,
     TcpRelay,
 };
-use crate::{Error, Result, Workload};
+use crate::{Caller, CallerSettings, Error, Result, Workload};
 
 const SECRET: &str = "lab-shared-secret-0123456789";
 const OPERATOR_TOKEN: &str = "lab-operator-token-0123456789";
@@ -279,6 +279,17 @@
         self.nodes.iter().map(|n| n.http).collect()
     }
 
+    /// A caller of a workspace in a zone, which knows all nodes.
+    pub fn caller(&self, workspace: &str, zone: &str, patience: Duration) -> Caller {
+        Caller::new(CallerSettings {
+            workspace: workspace.to_owned(),
+            key: Self::workspace_key(workspace),
+            nodes: self.http_addresses(),
+            zone: zone.to_owned(),
+            patience,
+        })
+    }
+
     /// The key of a workspace.
     pub fn workspace_key(name: &str) -> String {
         format!("key-of-{name}")
--- a/crates/lab/tests/failures/helper.rs
+++ b/crates/lab/tests/failures/helper.rs
@@ -4,7 +4,7 @@
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use rwd_lab::{
-    Caller, CallerSettings, Cluster, ClusterSettings, RequestSpec, Shape, Workload, WorkloadName,
+    Caller, Cluster, ClusterSettings, RequestRecord, RequestSpec, Shape, Workload, WorkloadName,
 };
 use rwd_platform::HttpClient;
 use serde_json::{Value, json};
@@ -35,13 +35,7 @@
 
 /// A caller in a zone, near the node there.
 pub fn caller_in(cluster: &Cluster, zone: &str) -> Caller {
-    Caller::new(CallerSettings {
-        workspace: "festival".into(),
-        key: Cluster::workspace_key("festival"),
-        nodes: cluster.http_addresses(),
-        zone: zone.into(),
-        patience: Duration::from_secs(3),
-    })
+    cluster.caller("festival", zone, Duration::from_secs(3))
 }
 
 pub fn completion(tag: &str, output: u64) -> RequestSpec {
@@ -149,3 +143,19 @@
         .filter(|r| r.target.starts_with('s'))
         .count()
 }
+
+/// Starts a stream and waits until an engine works on it.
+pub async fn running_stream(
+    cluster: &Cluster,
+    tag: &str,
+    output: u64,
+) -> tokio::task::JoinHandle<RequestRecord> {
+    let (caller, spec) = (caller(cluster), completion(tag, output));
+    let running = tokio::spawn(async move { caller.run(spec).await });
+    until("the stream has begun", || {
+        let runs = cluster.ledger.all();
+        runs.values().flatten().any(|r| r.started.is_some())
+    })
+    .await;
+    running
+}
--- a/crates/lab/tests/failures/requests.rs
+++ b/crates/lab/tests/failures/requests.rs
@@ -1,6 +1,8 @@
 //! Requests whose way is cut, whose answer is lost, or that come more than once.
 
-use crate::helper::{addresses, caller, completion, confirm, key_of, service_runs, system, until};
+use crate::helper::{
+    addresses, caller, completion, confirm, key_of, running_stream, service_runs, system, until,
+};
 use rwd_lab::stand_in::FaultSettings;
 use rwd_lab::{Outcome, RequestSpec, Shape};
 use std::sync::Arc;
@@ -10,20 +12,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_connection_goes_silent_is_resumed_and_whole() {
     let cluster = system().await;
-    let caller = Arc::new(caller(&cluster));
-    let running = tokio::spawn({
-        let caller = caller.clone();
-        async move { caller.run(completion("silent", 120)).await }
-    });
-    until("the stream has begun", || {
-        cluster
-            .ledger
-            .all()
-            .values()
-            .flatten()
-            .any(|r| r.started.is_some())
-    })
-    .await;
+    let running = running_stream(&cluster, "silent", 120).await;
     for engine in 0..2 {
         cluster.engine_relay(engine).unwrap().silence();
     }
@@ -190,20 +179,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_whose_connection_goes_silent_reads_on_over_a_new_one() {
     let cluster = system().await;
-    let caller = Arc::new(caller(&cluster));
-    let running = tokio::spawn({
-        let caller = caller.clone();
-        async move { caller.run(completion("reader", 150)).await }
-    });
-    until("the stream has begun", || {
-        cluster
-            .ledger
-            .all()
-            .values()
-            .flatten()
-            .any(|r| r.started.is_some())
-    })
-    .await;
+    let running = running_stream(&cluster, "reader", 150).await;
     for node in &cluster.nodes {
         let (http, peer) = node.relays().unwrap();
         http.silence();
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -44,8 +44,6 @@
     pub forwarded: Counter<u64>,
     /// Changes of the revision in force.
     pub revisions: Counter<u64>,
-    /// Time from acceptance to the grant, in milliseconds, by tier.
-    pub wait_ms: Histogram<f64>,
     /// Time from acceptance to the first token, in milliseconds, by tier.
     pub first_token_ms: Histogram<f64>,
 }
@@ -72,7 +70,6 @@
             resumed: counter(&meter, "streams_resumed"),
             forwarded: counter(&meter, "calls_forwarded"),
             revisions: counter(&meter, "revisions_applied"),
-            wait_ms: times(&meter, "grant_wait_ms"),
             first_token_ms: times(&meter, "first_token_ms"),
             _provider: provider,
         })
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -166,11 +166,6 @@
         self.shared.control.in_force().revision
     }
 
-    /// Follows the configuration in force at this node.
-    pub fn watch_config(&self) -> watch::Receiver<rwd_control::InForce> {
-        self.shared.control.watch()
-    }
-
     /// Follows which nodes this node believes to be alive.
     pub fn watch_members(&self) -> watch::Receiver<Arc<rwd_peer::View>> {
         self.shared.directory.watch()
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -5,9 +5,7 @@
 use rwd_config::Configuration;
 use rwd_metrics::{Metrics, label};
 use rwd_platform::CacheEvents;
-use rwd_types::{
-    InstanceName, Millis, PoolName, Problem, ProblemKind, TargetName, TierRank, Tokens,
-};
+use rwd_types::{InstanceName, Millis, PoolName, Problem, ProblemKind, TargetName, TierRank};
 use rwd_wire::{Adopted, Digest, Finish, Grant, GrantId, Offer, ShardId};
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -477,13 +475,6 @@
     pub fn offers_received(&self) -> u64 {
         self.lock().offers
     }
-
-    /// The estimate of all work in progress on the owned targets.
-    pub fn tokens_in_flight(&self) -> Tokens {
-        let inner = self.lock();
-        let targets = inner.shards.values().flat_map(|s| s.targets.values());
-        Tokens(targets.map(|t| t.tokens_in_flight().0).sum())
-    }
 }
 
 impl Inner {
--- a/crates/sched/src/target_state.rs
+++ b/crates/sched/src/target_state.rs
@@ -281,15 +281,6 @@
         let until = Instant::now() + pause;
         self.health = Health::Down { until, pause };
     }
-
-    /// Estimate of the work in progress.
-    pub fn tokens_in_flight(&self) -> Tokens {
-        let tokens = self
-            .in_flight
-            .values()
-            .map(|f| f.offer.prompt.0 + f.offer.output.0);
-        Tokens(tokens.sum())
-    }
 }
 
 /// Whether the next request to a target is there to see if it has recovered.
