Lease quotas from one banker a workspace; refuse late requests while stopping

Now each workspace has a banker (rendezvous) that hands out small leases; a banker that sees part of the nodes fills at their share, a new banker starts empty, and a node without one uses its fixed share.

The home now checks its own list before it sends, and a node with a list older than 1.7 s schedules for no other. Ruled out: the home's own list was fresh.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -109,7 +109,7 @@
     /// Pools by name.
     pub pools: IndexMap<PoolName, Pool>,
     keys: IndexMap<CompactString, Arc<Workspace>>,
-    has_workspaces: bool,
+    workspaces: IndexMap<WorkspaceName, Arc<Workspace>>,
     /// What callers may send.
     pub limits: Limits,
 }
@@ -131,18 +131,19 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
         }
-        let has_workspaces = !workspaces.is_empty();
         let mut by_key = IndexMap::new();
+        let mut by_name = IndexMap::new();
         for (workspace, keys) in workspaces {
             let workspace = Arc::new(workspace);
             by_key.extend(keys.into_iter().map(|k| (k, workspace.clone())));
+            by_name.insert(workspace.name.clone(), workspace);
         }
         Self {
             version,
             routes: by_host,
             pools,
             keys: by_key,
-            has_workspaces,
+            workspaces: by_name,
             limits,
         }
     }
@@ -162,9 +163,19 @@
         self.keys.get(key)
     }
 
+    /// A workspace by name.
+    pub fn workspace_named(&self, name: &WorkspaceName) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(name)
+    }
+
+    /// All workspaces.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.workspaces.values()
+    }
+
     /// Whether requests of a route need a key.
     pub fn needs_key(&self, route: &Route) -> bool {
-        self.has_workspaces && !route.public
+        !self.workspaces.is_empty() && !route.public
     }
 }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -155,6 +155,7 @@
                     Some(_) => views.apply_targets(batch.records, returning),
                 }
                 next = Some(batch.next);
+                views.confirm_targets(asked);
                 ticks.tick().await;
             }
             Err(StoreError::Gone) => next = None,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,17 +12,17 @@
 use rwd_peer::Directory;
 use rwd_placement::{Moment, Rank};
 use rwd_types::{PoolName, ZoneName};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::timeout;
 
 use crate::channel::SharedChannels;
-use crate::quota::{Quotas, RepeatBudget, Shares};
+use crate::limits::Limiter;
 use crate::refusal::Refusal;
 use crate::run::Run;
 use crate::slots::Slots;
-use crate::{Bounds, Catalog, CallerHead, Protocol, Route, Views, Workspace, clock};
+use crate::{Catalog, CallerHead, Protocol, Route, Views, Workspace, clock};
 
 /// Age from which on a configuration does not show that a key or a route is unknown, as a share of
 /// the time in which a new one must be in force.
@@ -51,24 +51,15 @@
 pub(crate) struct Gateway<P> {
     pub protocol: P,
     pub zone: ZoneName,
-    pub bounds: Mutex<Bounds>,
     pub views: Arc<Views>,
     pub slots: Slots,
     pub channels: SharedChannels,
     pub directory: Arc<Directory>,
-    pub limits: Mutex<SharedLimits>,
+    pub limiter: Arc<Limiter>,
     pub output_shares: Mutex<IndexMap<CompactString, f64>>,
     pub in_progress: AtomicUsize,
-}
-
-/// Limits that all nodes keep together.
-#[derive(Default)]
-pub(crate) struct SharedLimits {
-    shares: Shares,
-    quotas: Quotas,
-    pub repeats: RepeatBudget,
-    /// Nodes that shares are made for.
-    pub nodes: usize,
+    /// Whether the node is so close to its end that it takes no further request.
+    pub is_closed: AtomicBool,
 }
 
 /// Counts a request as in progress.
@@ -95,17 +86,16 @@
 }
 
 impl<P: Protocol> Gateway<P> {
-    pub fn bounds(&self) -> Bounds {
-        self.bounds.lock().unwrap_or_else(|e| e.into_inner()).clone()
-    }
-
     /// Answers one request.
     pub async fn serve(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         let in_progress = InProgress(self.clone());
         let arrived = clock::now();
         let (parts, body) = req.into_parts();
-        let admitted = match self.admit(&parts, arrived) {
+        if self.is_closed.load(Ordering::Relaxed) {
+            return refused("", Refusal::Leaving);
+        }
+        let admitted = match self.admit(&parts, arrived).await {
             Ok(admitted) => admitted,
             Err((id, refusal)) => return refused(&id, refusal),
         };
@@ -128,7 +118,7 @@
         }
     }
 
-    fn admit(
+    async fn admit(
         &self,
         parts: &request::Parts,
         arrived: Moment,
@@ -141,7 +131,11 @@
             }
         };
         let id = head.id.clone();
-        self.admit_head(parts, head, arrived).map_err(|r| (id, r))
+        let mut admitted = self.admit_head(parts, head, arrived).map_err(|r| (id.clone(), r))?;
+        match self.take_units(&mut admitted).await {
+            Ok(()) => Ok(admitted),
+            Err(refusal) => Err((id, refusal)),
+        }
     }
 
     fn admit_head(
@@ -150,7 +144,7 @@
         head: CallerHead,
         arrived: Moment,
     ) -> Result<Admitted, Refusal> {
-        let bounds = self.bounds();
+        let bounds = self.limiter.bounds();
         let catalog = self.views.catalog().ok_or(Refusal::Stale)?;
         let age_ms = self.views.catalog_age_ms();
         let may_judge = age_ms < bounds.apply_ms * JUDGE_SHARE;
@@ -179,7 +173,7 @@
             workspace: workspace.as_ref().map_or(0, |w| w.priority),
             route: route.priority,
         };
-        let mut admitted = Admitted {
+        Ok(Admitted {
             head,
             route,
             workspace,
@@ -189,18 +183,12 @@
             deadline: arrived + timeout_ms,
             units: 0.0,
             catalog,
-        };
-        self.take_units(&mut admitted, &bounds)?;
-        Ok(admitted)
+        })
     }
 
     // The request counts against the quota of its workspace and towards the repeats of its pool.
-    fn take_units(&self, admitted: &mut Admitted, bounds: &Bounds) -> Result<(), Refusal> {
-        let now = admitted.arrived;
-        let mut limits = self.limits.lock().unwrap_or_else(|e| e.into_inner());
-        let view = self.directory.view();
-        limits.nodes = limits.shares.count(view.members.keys(), now);
-        limits.repeats.request(&admitted.pool, bounds, now);
+    async fn take_units(&self, admitted: &mut Admitted) -> Result<(), Refusal> {
+        self.limiter.request(&admitted.pool);
         let Some(workspace) = &admitted.workspace else {
             return Ok(());
         };
@@ -213,8 +201,7 @@
             true => quota.plain_tokens,
             false => 1.0,
         };
-        let nodes = limits.nodes;
-        let taken = limits.quotas.take(&workspace.name, quota, units, nodes, bounds, now);
+        let taken = self.limiter.take(workspace, units).await;
         taken.map_err(|retry_after_ms| Refusal::OverQuota { retry_after_ms })?;
         admitted.units = units;
         Ok(())
@@ -223,19 +210,10 @@
     /// Gives back the quota units of a request that did not run.
     pub fn put_back_units(&self, admitted: &Admitted) {
         if let Some(workspace) = &admitted.workspace {
-            let mut limits = self.limits.lock().unwrap_or_else(|e| e.into_inner());
-            limits.quotas.put_back(&workspace.name, admitted.units);
+            self.limiter.put_back(&workspace.name, admitted.units);
         }
     }
 
-    /// Whether one more send of a request is within the budget; counts it if so.
-    pub fn may_repeat(&self, pool: &PoolName) -> bool {
-        let bounds = self.bounds();
-        let mut limits = self.limits.lock().unwrap_or_else(|e| e.into_inner());
-        let nodes = limits.nodes;
-        limits.repeats.repeat(pool, nodes, &bounds, clock::now())
-    }
-
     /// The answer length to expect, in tokens.
     pub fn expected_output(&self, admitted: &Admitted) -> u32 {
         let most = admitted.head.max_output_tokens;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod events;
 mod follow;
 mod gateway;
+mod limits;
 mod node;
 mod owner;
 mod quota;
@@ -31,6 +32,6 @@
 pub use crate::events::{Event, EventBuffer};
 pub use crate::gateway::{Aborted, Body};
 pub use crate::node::{GatewayNode, NodeError};
-pub use crate::quota::{Quotas, RepeatBudget, Shares};
+pub use crate::quota::{Bank, Lease, Nodes, Purse, RepeatBudget, Shares};
 pub use crate::settings::{Bounds, GatewaySettings, Listen, SettingsError, instance_at};
 pub use crate::views::Views;
--- /dev/null
+++ b/crates/gateway/src/limits.rs
@@ -0,0 +1,186 @@
+//! Asks for quota units: from what this node has leased, the workspace's banker, its own share.
+
+use log::info;
+use rwd_peer::{Directory, Error, Links, rank};
+use rwd_types::{InstanceName, PoolName, WorkspaceName};
+use rwd_wire::Message;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::quota::{Bank, Lease, Nodes, Purse, RepeatBudget, Shares};
+use crate::{Bounds, Catalog, Views, Workspace, clock};
+
+/// How long a banker may take to answer: some round trips between zones.
+const BANKER_LIMIT: Duration = Duration::from_millis(120);
+
+#[derive(Default)]
+struct Inner {
+    shares: Shares,
+    bank: Bank,
+    purse: Purse,
+    repeats: RepeatBudget,
+}
+
+/// The limits that a node keeps together with all others.
+pub(crate) struct Limiter {
+    own: InstanceName,
+    directory: Arc<Directory>,
+    links: Arc<Links>,
+    views: Arc<Views>,
+    bounds: Mutex<Bounds>,
+    inner: Mutex<Inner>,
+}
+
+impl Limiter {
+    pub fn new(
+        own: InstanceName,
+        directory: Arc<Directory>,
+        links: Arc<Links>,
+        views: Arc<Views>,
+        bounds: Bounds,
+    ) -> Self {
+        Self {
+            own,
+            directory,
+            links,
+            views,
+            bounds: Mutex::new(bounds),
+            inner: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// The bounds in force.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.lock().unwrap_or_else(|e| e.into_inner()).clone()
+    }
+
+    /// Puts other bounds in force.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        *self.bounds.lock().unwrap_or_else(|e| e.into_inner()) = bounds;
+    }
+
+    fn nodes(&self, inner: &mut Inner) -> Nodes {
+        let view = self.directory.view();
+        inner.shares.count(view.members.keys(), clock::now())
+    }
+
+    /// Opens the buckets of a configuration's workspaces.
+    pub fn open(&self, catalog: &Catalog) {
+        let mut inner = self.lock();
+        for workspace in catalog.workspaces() {
+            inner.bank.open(&workspace.name, clock::now());
+            self.nodes(&mut inner);
+        }
+    }
+
+    /// Takes units of a workspace's quota.
+    ///
+    /// # Errors
+    ///
+    /// The milliseconds after which they will be there.
+    pub async fn take(&self, workspace: &Workspace, units: f64) -> Result<(), f64> {
+        if workspace.quota.per_s <= 0.0 {
+            return Ok(());
+        }
+        if self.lock().purse.take(&workspace.name, units, clock::now()) {
+            return Ok(());
+        }
+        let banker = self.banker(&workspace.name);
+        let lease = match banker {
+            Some(name) if name != self.own => match self.ask(&name, workspace, units).await {
+                Ok(lease) => lease,
+                Err(e) => {
+                    info!(event = "banker_lost", workspace:% = workspace.name, banker:% = name, error:% = e; "using this node's own share");
+                    self.own_share(workspace, units)
+                }
+            },
+            _ => self.lease(workspace, units),
+        };
+        match lease {
+            Lease::Granted { units: granted } => {
+                let mut inner = self.lock();
+                inner.purse.put(&workspace.name, granted - units, clock::now());
+                Ok(())
+            }
+            Lease::Exhausted { retry_after_ms } => Err(retry_after_ms),
+        }
+    }
+
+    /// Gives back units of a request that did not run.
+    pub fn put_back(&self, workspace: &WorkspaceName, units: f64) {
+        self.lock().purse.put(workspace, units, clock::now());
+    }
+
+    fn banker(&self, workspace: &WorkspaceName) -> Option<InstanceName> {
+        let view = self.directory.view();
+        let key = xxh3_64(workspace.as_str().as_bytes());
+        rank(key, view.staying()).first().map(|m| m.name.clone())
+    }
+
+    fn lease(&self, workspace: &Workspace, units: f64) -> Lease {
+        let bounds = self.bounds();
+        let mut inner = self.lock();
+        let nodes = self.nodes(&mut inner);
+        let (name, quota) = (&workspace.name, &workspace.quota);
+        inner.bank.lease(name, quota, units, nodes, &bounds, clock::now())
+    }
+
+    fn own_share(&self, workspace: &Workspace, units: f64) -> Lease {
+        let bounds = self.bounds();
+        let mut inner = self.lock();
+        let nodes = self.nodes(&mut inner);
+        let (name, quota) = (&workspace.name, &workspace.quota);
+        inner.purse.own_share(name, quota, units, nodes, &bounds, clock::now())
+    }
+
+    async fn ask(
+        &self,
+        banker: &InstanceName,
+        workspace: &Workspace,
+        units: f64,
+    ) -> rwd_peer::Result<Lease> {
+        let demand = Message::Demand {
+            workspace: workspace.name.clone(),
+            units,
+        };
+        match self.links.ask(banker, &demand, BANKER_LIMIT).await? {
+            Message::Leased { units } => Ok(Lease::Granted { units }),
+            Message::Exhausted { retry_after_ms } => Ok(Lease::Exhausted { retry_after_ms }),
+            _ => Err(Error::Unexpected),
+        }
+    }
+
+    /// Answers the demand of a peer.
+    pub fn answer(&self, workspace: &WorkspaceName, units: f64) -> Message {
+        let catalog = self.views.catalog();
+        let known = catalog.as_ref().and_then(|c| c.workspace_named(workspace));
+        let lease = match known {
+            Some(workspace) => self.lease(workspace, units),
+            // The peer knows a newer configuration; it asks again or uses its own share.
+            None => return Message::Unknown,
+        };
+        match lease {
+            Lease::Granted { units } => Message::Leased { units },
+            Lease::Exhausted { retry_after_ms } => Message::Exhausted { retry_after_ms },
+        }
+    }
+
+    /// Counts a request of a caller towards the repeats of its pool.
+    pub fn request(&self, pool: &PoolName) {
+        let bounds = self.bounds();
+        self.lock().repeats.request(pool, &bounds, clock::now());
+    }
+
+    /// Whether one more send of a request is within the budget; counts it if so.
+    pub fn may_repeat(&self, pool: &PoolName) -> bool {
+        let bounds = self.bounds();
+        let mut inner = self.lock();
+        let nodes = self.nodes(&mut inner);
+        inner.repeats.repeat(pool, nodes, &bounds, clock::now())
+    }
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -17,7 +17,7 @@
 use rwd_wire::{Liveness, MemberUpdate, Message};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
@@ -26,7 +26,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::channel::Channels;
-use crate::gateway::{Body, Gateway, SharedLimits};
+use crate::gateway::{Body, Gateway};
+use crate::limits::Limiter;
 use crate::owner::Owner;
 use crate::server::{Stop, accept, plain};
 use crate::slots::Slots;
@@ -45,6 +46,9 @@
     period: Duration::from_millis(300),
     timeout: Duration::from_millis(400),
 };
+/// Age of the list of targets from which on a node schedules for no other, in milliseconds: a
+/// leaving target must be left within two seconds.
+const MAX_TARGETS_AGE_MS: f64 = 1700.0;
 /// Lifetime of a lookup's answer: within the longest that callers honour, short enough that a
 /// node that leaves is soon forgotten.
 const LOOKUP_LIFETIME: Duration = Duration::from_secs(2);
@@ -52,8 +56,12 @@
 const MAX_ADDRESSES: usize = 64;
 /// Least nodes of a caller's own zone that are named alone.
 const MIN_NEAR: usize = 2;
-/// How long a leaving node takes late requests: callers keep lookups for up to three lifetimes.
-const LINGER: Duration = Duration::from_secs(5);
+/// How long a leaving node takes requests of callers that still hold its address; later ones
+/// might not end before the process has to.
+const LATE_REQUESTS: Duration = Duration::from_secs(3);
+/// How long a leaving node stays to tell callers to go elsewhere: they keep lookups for up to
+/// three lifetimes.
+const LINGER: Duration = Duration::from_secs(6);
 /// Part of the stop's time that is left for closing connections.
 const STOP_MARGIN: Duration = Duration::from_millis(900);
 /// Time between two looks at whether a stop may end.
@@ -85,6 +93,7 @@
     membership: Arc<Membership>,
     stop: watch::Sender<Stop>,
     in_progress: Arc<dyn Fn() -> usize + Send + Sync>,
+    close: Arc<dyn Fn() + Send + Sync>,
     reload: Arc<Notify>,
     _tasks: JoinSet<()>,
 }
@@ -127,17 +136,24 @@
         let owner = Arc::new(Owner::new(PlacementSettings::default()));
         let views = Arc::new(Views::default());
         let channels = Arc::new(Channels::default());
+        let limiter = Arc::new(Limiter::new(
+            instance.clone(),
+            directory.clone(),
+            links.clone(),
+            views.clone(),
+            cfg.bounds.clone(),
+        ));
         let gateway = Arc::new(Gateway {
             protocol,
             zone: cfg.zone.clone(),
-            bounds: Mutex::new(cfg.bounds.clone()),
             views: views.clone(),
             slots: Slots::new(instance, owner.clone(), directory.clone(), links),
             channels: channels.clone(),
             directory: directory.clone(),
-            limits: Mutex::new(SharedLimits::default()),
+            limiter: limiter.clone(),
             output_shares: Mutex::new(IndexMap::new()),
             in_progress: AtomicUsize::new(0),
+            is_closed: AtomicBool::new(false),
         });
         let stop = watch::Sender::new(Stop::Running);
         let front = Arc::new(Front {
@@ -151,11 +167,14 @@
         tasks.spawn(follow::configuration(store.clone(), views.clone()));
         tasks.spawn(follow::targets(store.clone(), views.clone(), timer.clone()));
         tasks.spawn(follow::nodes(store, cfg.clone(), directory.clone(), timer.clone()));
-        tasks.spawn(apply_targets(views, owner.clone()));
+        tasks.spawn(apply_views(views.clone(), owner.clone(), limiter.clone()));
         tasks.spawn(owner.clone().run());
+        let l = limiter.clone();
         let handler = Arc::new(PeerHandler {
             membership: membership.clone(),
             owner,
+            limiter,
+            views: views.clone(),
         });
         tasks.spawn(rwd_peer::serve(peers, cfg.secret.clone(), bytes, LINK_KEEP_ALIVE, handler));
         let (m, t) = (membership.clone(), timer.clone());
@@ -169,9 +188,10 @@
         tasks.spawn(accept(lookups, header_bytes, stop.subscribe(), lookup));
         let status = move |req| front.clone().status(req);
         tasks.spawn(accept(readiness, header_bytes, stop.subscribe(), status));
-        let g = gateway.clone();
         let reload = Arc::new(Notify::new());
-        tasks.spawn(upkeep(timer, channels, file, cfg.bounds.clone(), g, reload.clone()));
+        tasks.spawn(upkeep(timer, channels, file, cfg.bounds.clone(), l, reload.clone()));
+        let g = gateway.clone();
+        let close = Arc::new(move || g.is_closed.store(true, Ordering::Relaxed));
         let in_progress = Arc::new(move || gateway.in_progress.load(Ordering::Relaxed));
         Ok(Self {
             cfg,
@@ -179,6 +199,7 @@
             membership,
             stop,
             in_progress,
+            close,
             reload,
             _tasks: tasks,
         })
@@ -197,6 +218,9 @@
         self.stop.send_replace(Stop::Leaving);
         self.tell_peers().await;
         loop {
+            if begun.elapsed() >= LATE_REQUESTS {
+                (self.close)();
+            }
             let idle = (self.in_progress)() == 0;
             if Instant::now() >= last || (idle && begun.elapsed() >= LINGER) {
                 break;
@@ -288,13 +312,22 @@
 struct PeerHandler {
     membership: Arc<Membership>,
     owner: Arc<Owner>,
+    limiter: Arc<Limiter>,
+    views: Arc<Views>,
 }
 
 impl Handler for PeerHandler {
-    async fn handle(&self, from: InstanceName, first: Message, ex: Exchange) {
+    async fn handle(&self, from: InstanceName, first: Message, mut ex: Exchange) {
         let result = match first {
             Message::Ping(_) | Message::PingFor { .. } => self.membership.answer(&first, ex).await,
+            // Without a fresh list of targets another node schedules better.
+            Message::Place(_) if self.views.targets_age_ms() > MAX_TARGETS_AGE_MS => {
+                ex.send_last(&Message::Unknown).await
+            }
             Message::Place(offer) => self.owner.serve(*offer, ex).await,
+            Message::Demand { workspace, units } => {
+                ex.send_last(&self.limiter.answer(&workspace, units)).await
+            }
             _ => Err(rwd_peer::Error::Unexpected),
         };
         if let Err(e) = result {
@@ -304,10 +337,11 @@
 }
 
 // Gives the scheduler the targets of each pool whenever either view changes.
-async fn apply_targets(views: Arc<Views>, owner: Arc<Owner>) {
+async fn apply_views(views: Arc<Views>, owner: Arc<Owner>, limiter: Arc<Limiter>) {
     let mut changes = views.watch();
     loop {
         if let Some(catalog) = views.catalog() {
+            limiter.open(&catalog);
             for (name, pool) in &catalog.pools {
                 let targets = views.targets(name);
                 let infos = targets.iter().map(|(n, e)| e.info(n, pool)).collect();
@@ -320,12 +354,12 @@
     }
 }
 
-async fn upkeep<P: Protocol>(
+async fn upkeep(
     timer: Timer,
     channels: Arc<Channels>,
     file: Option<PathBuf>,
     mut bounds: Bounds,
-    gateway: Arc<Gateway<P>>,
+    limiter: Arc<Limiter>,
     reload: Arc<Notify>,
 ) {
     let mut ticks = timer.every(UPKEEP_PERIOD);
@@ -342,7 +376,7 @@
             Ok(new) if new.bounds == bounds => (),
             Ok(new) => {
                 info!(event = "reload"; "bounds changed");
-                *gateway.bounds.lock().unwrap_or_else(|e| e.into_inner()) = new.bounds.clone();
+                limiter.set_bounds(new.bounds.clone());
                 bounds = new.bounds;
             }
             Err(e) => warn!(event = "reload", error:% = e; "settings cannot be read; the old ones stay in force"),
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -1,7 +1,9 @@
-//! This node's share of limits that hold for all nodes together.
+//! Limits that hold for all nodes together: workspaces' quotas and the budget of repeats.
 //!
-//! Every node takes the same fixed share, so that nodes that cannot talk to one
-//! another stay within the limit together.
+//! One node, the workspace's banker, holds the bucket that all nodes draw on; it
+//! hands out small leases. A banker that sees only some of the nodes fills its
+//! bucket at their share of the rate, so that parts of a cut system stay within
+//! the quota together. A node that reaches no banker uses its own fixed share.
 
 use indexmap::IndexMap;
 use rwd_placement::Moment;
@@ -10,90 +12,221 @@
 
 use crate::{Bounds, Quota};
 
-/// Share of the slack that buckets may hold beyond the burst; the rest covers restarts and
-/// nodes that disagree on their number.
-const SLACK_SHARE: f64 = 0.4;
+/// Share of the slack that a bucket may hold beyond the burst; the rest covers what nodes have
+/// leased and not used, and bankers that follow one another.
+const SLACK_SHARE: f64 = 0.3;
 /// Share of the stated repeats that is used.
 const REPEAT_SHARE: f64 = 0.8;
 /// How long a node that is gone keeps its share, in milliseconds: for as long it may in truth be
 /// cut off and serving.
-const SHARE_RETENTION_MS: f64 = 12_000.0;
+const SHARE_RETENTION_MS: f64 = 20_000.0;
+/// How long a lease may stay unused, in milliseconds.
+const LEASE_MS: f64 = 1500.0;
+/// Units leased beyond the need of one request, as a share of what the bucket holds.
+const SPARE_SHARE: f64 = 0.01;
+/// Longest time after which a refused caller is told to come back, in milliseconds.
+const MAX_RETRY_AFTER_MS: f64 = 10_000.0;
 
 /// Counts the nodes that shares are made for.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Shares {
     seen: IndexMap<InstanceName, Moment>,
 }
 
+/// The nodes that are alive, and all that may be serving somewhere.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Nodes {
+    /// Alive as seen from here.
+    pub alive: usize,
+    /// Alive now or not long ago.
+    pub all: usize,
+}
+
+impl Nodes {
+    /// The part of a limit that may be used from here.
+    pub fn visible_share(self) -> f64 {
+        self.alive.max(1) as f64 / self.all.max(1) as f64
+    }
+
+    /// The part of a limit that one node may use by itself.
+    pub fn own_share(self) -> f64 {
+        1.0 / self.all.max(1) as f64
+    }
+}
+
 impl Shares {
-    /// Takes in the nodes that are alive now and gives the number of shares.
+    /// Takes in the nodes that are alive now.
     pub fn count<'a>(
         &mut self,
         alive: impl Iterator<Item = &'a InstanceName>,
         now: Moment,
-    ) -> usize {
+    ) -> Nodes {
+        let mut count = 0;
         for name in alive {
+            count += 1;
             self.seen.insert(name.clone(), now);
         }
         self.seen.retain(|_, at| now - *at < SHARE_RETENTION_MS);
-        self.seen.len().max(1)
+        Nodes {
+            alive: count.max(1),
+            all: self.seen.len().max(1),
+        }
     }
 }
 
+/// A bucket of quota units that fills with time.
+#[derive(Clone, Debug)]
 struct Bucket {
     level: f64,
     at: Moment,
+    // Units that refused callers were told to come back for.
+    promised: f64,
 }
 
-/// Token buckets of the workspaces.
-#[derive(Default)]
-pub struct Quotas {
+impl Bucket {
+    // Empty, so that one that replaces a lost one grants nothing twice.
+    fn new(now: Moment) -> Self {
+        Self {
+            level: 0.0,
+            at: now,
+            promised: 0.0,
+        }
+    }
+
+    fn fill(&mut self, quota: &Quota, share: f64, bounds: &Bounds, now: Moment) -> f64 {
+        let rate = quota.per_s * share / 1000.0;
+        let capacity = (quota.burst + bounds.quota_slack * SLACK_SHARE) * share;
+        let gained = (now - self.at).max(0.0) * rate;
+        self.level = (self.level + gained).min(capacity);
+        self.promised = (self.promised - gained).max(0.0);
+        self.at = now;
+        rate
+    }
+
+    // A request larger than the whole bucket passes when that is full; the level goes below zero.
+    fn take(&mut self, quota: &Quota, share: f64, bounds: &Bounds, units: f64) -> bool {
+        let capacity = (quota.burst + bounds.quota_slack * SLACK_SHARE) * share;
+        let enough = self.level >= units.min(capacity * 0.95);
+        if enough {
+            self.level -= units;
+        }
+        enough
+    }
+
+    fn refuse(&mut self, units: f64, rate: f64) -> f64 {
+        let wait = (units + self.promised - self.level).max(0.0) / rate.max(1e-9);
+        if wait < MAX_RETRY_AFTER_MS {
+            self.promised += units;
+        }
+        wait.min(MAX_RETRY_AFTER_MS)
+    }
+}
+
+/// What a banker or a node's own share says to a demand.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Lease {
+    /// Units that may be used now.
+    Granted {
+        /// How many; at least the demand.
+        units: f64,
+    },
+    /// The quota is used up.
+    Exhausted {
+        /// When the demand can be met, in milliseconds.
+        retry_after_ms: f64,
+    },
+}
+
+/// The buckets that all nodes draw on, at the node that keeps them.
+#[derive(Debug, Default)]
+pub struct Bank {
     buckets: IndexMap<WorkspaceName, Bucket>,
 }
 
-impl Quotas {
-    /// Takes `units` from a workspace's share, or says in how many milliseconds they will be there.
-    ///
-    /// # Errors
-    ///
-    /// The milliseconds until the share holds that many units.
-    pub fn take(
+impl Bank {
+    /// Opens a bucket, so that it fills before the first demand.
+    pub fn open(&mut self, workspace: &WorkspaceName, now: Moment) {
+        let bucket = self.buckets.entry(workspace.clone());
+        bucket.or_insert_with(|| Bucket::new(now));
+    }
+
+    /// Answers a demand for `units`.
+    pub fn lease(
         &mut self,
         workspace: &WorkspaceName,
         quota: &Quota,
         units: f64,
-        nodes: usize,
+        nodes: Nodes,
         bounds: &Bounds,
         now: Moment,
-    ) -> Result<(), f64> {
-        if quota.per_s <= 0.0 {
-            return Ok(());
+    ) -> Lease {
+        let bucket = self.buckets.entry(workspace.clone());
+        let bucket = bucket.or_insert_with(|| Bucket::new(now));
+        let share = nodes.visible_share();
+        let rate = bucket.fill(quota, share, bounds, now);
+        if !bucket.take(quota, share, bounds, units) {
+            let retry_after_ms = bucket.refuse(units, rate);
+            return Lease::Exhausted { retry_after_ms };
         }
-        let nodes = nodes.max(1) as f64;
-        let rate = quota.per_s / nodes / 1000.0;
-        let capacity = (quota.burst + bounds.quota_slack * SLACK_SHARE) / nodes;
-        let bucket = self.buckets.entry(workspace.clone()).or_insert(Bucket {
-            level: capacity / 2.0,
-            at: now,
-        });
-        bucket.level = (bucket.level + (now - bucket.at).max(0.0) * rate).min(capacity);
-        bucket.at = now;
-        // A request larger than the whole share passes when the bucket is full.
-        let need = units.min(capacity);
-        match bucket.level >= need {
-            true => {
-                bucket.level -= units;
-                Ok(())
+        let spare = (bucket.level * SPARE_SHARE).max(0.0);
+        bucket.level -= spare;
+        Lease::Granted {
+            units: units + spare,
+        }
+    }
+}
+
+struct Leased {
+    units: f64,
+    until: Moment,
+}
+
+/// What one node has leased, and its fixed shares for when it reaches no banker.
+#[derive(Default)]
+pub struct Purse {
+    leased: IndexMap<WorkspaceName, Leased>,
+    own: Bank,
+}
+
+impl Purse {
+    /// Takes units from what is leased already.
+    pub fn take(&mut self, workspace: &WorkspaceName, units: f64, now: Moment) -> bool {
+        match self.leased.get_mut(workspace) {
+            Some(l) if l.until > now && l.units >= units => {
+                l.units -= units;
+                true
             }
-            false => Err((need - bucket.level) / rate),
+            _ => false,
         }
     }
 
-    /// Gives back units of a request that did not run.
-    pub fn put_back(&mut self, workspace: &WorkspaceName, units: f64) {
-        if let Some(bucket) = self.buckets.get_mut(workspace) {
-            bucket.level += units;
+    /// Adds units of a lease, or of a request that did not run.
+    pub fn put(&mut self, workspace: &WorkspaceName, units: f64, now: Moment) {
+        let until = now + LEASE_MS;
+        let l = self.leased.entry(workspace.clone());
+        let l = l.or_insert(Leased { units: 0.0, until });
+        if l.until <= now {
+            l.units = 0.0;
         }
+        l.units += units;
+        l.until = until;
+    }
+
+    /// Answers a demand from the node's fixed share.
+    pub fn own_share(
+        &mut self,
+        workspace: &WorkspaceName,
+        quota: &Quota,
+        units: f64,
+        nodes: Nodes,
+        bounds: &Bounds,
+        now: Moment,
+    ) -> Lease {
+        let alone = Nodes {
+            alive: 1,
+            all: nodes.all,
+        };
+        self.own.lease(workspace, quota, units, alone, bounds, now)
     }
 }
 
@@ -119,10 +252,10 @@
     }
 
     /// Whether one more repeated send is within this node's share; counts it if so.
-    pub fn repeat(&mut self, pool: &PoolName, nodes: usize, bounds: &Bounds, now: Moment) -> bool {
+    pub fn repeat(&mut self, pool: &PoolName, nodes: Nodes, bounds: &Bounds, now: Moment) -> bool {
         let window = self.pools.entry(pool.clone()).or_default();
         window.trim(bounds, now);
-        let slack = bounds.repeat_slack / nodes.max(1) as f64;
+        let slack = bounds.repeat_slack * nodes.own_share();
         let allowed = REPEAT_SHARE * (bounds.repeat_ratio * window.requests.len() as f64 + slack);
         let within = (window.repeats.len() as f64) + 1.0 <= allowed;
         if within {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -29,6 +29,9 @@
     /// The node has no configuration, or one that is too old to judge by.
     #[display("stale-configuration")]
     Stale,
+    /// The node is about to stop.
+    #[display("leaving")]
+    Leaving,
     /// The workspace is beyond its quota.
     #[display("over-quota")]
     OverQuota {
@@ -60,7 +63,9 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
             Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::Stale | Self::Overload { .. } | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Stale | Self::Leaving | Self::Overload { .. } | Self::NotRun => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -78,6 +83,8 @@
             Self::OverQuota { retry_after_ms } | Self::Overload { retry_after_ms } => {
                 Some(retry_after_ms)
             }
+            // Another node takes it at once.
+            Self::Leaving => Some(0.0),
             Self::Stale | Self::NotRun => Some(RETRY_AFTER_MS),
             _ => None,
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -154,7 +154,7 @@
         loop {
             match next {
                 Next::Event(event) => match self.pass_event(event).await {
-                    Some(Ended::Broken) => return Err((slot, Attempt::Broken("events"))),
+                    Some(Ended::Broken) => return Err((slot, Attempt::Broken)),
                     Some(ended) => return Ok(ended),
                     None => (),
                 },
@@ -170,7 +170,7 @@
                     self.run.gateway.note_output(&self.run.admitted, whole);
                     return Ok(Ended::Complete);
                 }
-                Next::Broken => return Err((slot, Attempt::Broken("stream"))),
+                Next::Broken => return Err((slot, Attempt::Broken)),
             }
             let patience = self.run.stream_patience();
             let waited = tokio::select! {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -58,6 +58,8 @@
 pub(crate) enum Attempt {
     /// Nothing was sent.
     Unreachable,
+    /// Nothing was sent, because the target is leaving.
+    Left,
     /// The target has not run the request.
     NotRun { misdirected: bool },
     /// A whole answer.
@@ -65,7 +67,7 @@
     /// The beginning of a stream.
     Started(Box<Started>),
     /// It may have run.
-    Broken(&'static str),
+    Broken,
     /// Nothing came for too long; it may have run.
     Silent,
 }
@@ -108,6 +110,7 @@
                 Attempt::Whole(parts, body) => {
                     let failed = parts.status.is_server_error();
                     let outcome = if failed { Outcome::Failed } else { self.complete(&slot) };
+                    self.exclude.push(slot.slot.target.clone());
                     slot.slot.release(outcome);
                     if failed && self.may_send_again() {
                         last_failure = Some((parts, body));
@@ -193,12 +196,16 @@
             Err(_) if self.sends == 0 => return Err(Refusal::NotRun),
             Err(_) => return Err(Refusal::Timeout),
         };
-        if self.arrivals > 0 && !self.gateway.may_repeat(&self.admitted.pool) {
+        let sent = clock::now();
+        let mut sending = Sending { slot, sent };
+        if !self.gateway.views.is_staying(&sending.slot.target) {
+            info!(event = "left", request:% = self.admitted.head.id, target:% = sending.slot.target, scheduler:% = sending.slot.scheduler; "the scheduler does not know that the target leaves");
+            return Ok((sending, Attempt::Left));
+        }
+        if self.arrivals > 0 && !self.gateway.limiter.may_repeat(&self.admitted.pool) {
             info!(event = "repeat_budget", request:% = self.admitted.head.id; "no budget for another send");
             return Err(Refusal::NotRun);
         }
-        let sent = clock::now();
-        let mut sending = Sending { slot, sent };
         let attempt = self.send(&mut sending, last_event).await;
         Ok((sending, attempt))
     }
@@ -250,7 +257,7 @@
                 }
                 Ok(Sent::Broken(e)) => {
                     info!(event = "broken", request:% = self.admitted.head.id, target:% = sending.slot.target, reused = channel.reused, error:% = e; "no answer");
-                    return Attempt::Broken("connection");
+                    return Attempt::Broken;
                 }
                 Err(_) => return Attempt::Silent,
             }
@@ -299,7 +306,7 @@
         let head = self.gateway.protocol.read_answer(&parts);
         if let Some(reason) = self.distrust(&parts, &head) {
             info!(event = "distrusted", request:% = self.admitted.head.id, target:% = sending.slot.target, reason, status = parts.status.as_u16(); "answer is not the target's");
-            return Attempt::Broken(reason);
+            return Attempt::Broken;
         }
         if self.admitted.route.streams && parts.status.is_success() {
             let mut reader = EventReader::new(body);
@@ -318,7 +325,7 @@
                     first: None,
                     sent: sending.sent,
                 })),
-                Ok(Next::Broken) => Attempt::Broken("stream"),
+                Ok(Next::Broken) => Attempt::Broken,
                 Err(_) => Attempt::Silent,
             };
         }
@@ -336,7 +343,7 @@
             Ok(Err(_)) if head.not_run || head.misdirected => Attempt::NotRun {
                 misdirected: head.misdirected,
             },
-            Ok(Err(_)) => Attempt::Broken("body"),
+            Ok(Err(_)) => Attempt::Broken,
             Err(_) => Attempt::Silent,
         }
     }
@@ -363,6 +370,10 @@
                 self.unreachable += 1;
                 (Outcome::Unreachable, Refusal::NotRun, "unreachable")
             }
+            Attempt::Left => {
+                self.unreachable += 1;
+                (Outcome::Gone, Refusal::NotRun, "left")
+            }
             Attempt::NotRun { misdirected } => {
                 self.arrivals += 1;
                 self.refusals += 1;
@@ -388,7 +399,7 @@
     /// Whether the request may be sent again after a failed attempt.
     pub fn may_go_on(&self, attempt: &Attempt) -> bool {
         match attempt {
-            Attempt::Unreachable => self.unreachable < MAX_UNREACHABLE,
+            Attempt::Unreachable | Attempt::Left => self.unreachable < MAX_UNREACHABLE,
             Attempt::NotRun { .. } => self.refusals < MAX_REFUSALS,
             _ => self.may_resend(),
         }
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -19,7 +19,7 @@
     targets: IndexMap<TargetName, TargetEntry>,
     // Entries that went missing during an outage, and when they count as gone.
     missing: IndexMap<TargetName, Moment>,
-    targets_known: bool,
+    targets_as_of: Option<Moment>,
 }
 
 /// The shared record of what the store says; versions only go forward.
@@ -65,7 +65,7 @@
     /// Whether the node knows enough to serve.
     pub fn is_complete(&self) -> bool {
         let inner = self.lock();
-        inner.catalog.is_some() && inner.targets_known
+        inner.catalog.is_some() && inner.targets_as_of.is_some()
     }
 
     /// Takes in a version of the configuration; an older one changes nothing.
@@ -117,7 +117,6 @@
             inner.missing.entry(name).or_insert(now + grace);
         }
         inner.expire(now);
-        inner.targets_known = true;
         drop(inner);
         self.notify();
     }
@@ -147,6 +146,27 @@
         }
     }
 
+    /// Records that the list of targets was the newest at `as_of`.
+    pub fn confirm_targets(&self, as_of: Moment) {
+        let mut inner = self.lock();
+        if inner.targets_as_of.is_none_or(|t| t < as_of) {
+            inner.targets_as_of = Some(as_of);
+        }
+    }
+
+    /// Milliseconds since the list of targets was known to be the newest.
+    pub fn targets_age_ms(&self) -> f64 {
+        let as_of = self.lock().targets_as_of;
+        as_of.map_or(f64::INFINITY, |t| clock::now() - t)
+    }
+
+    /// Whether a target may get work, as far as this node knows.
+    pub fn is_staying(&self, target: &TargetName) -> bool {
+        let inner = self.lock();
+        let entry = inner.targets.get(target);
+        entry.is_some_and(|e| !e.leaving) && !inner.missing.contains_key(target)
+    }
+
     /// The targets of a pool.
     pub fn targets(&self, pool: &PoolName) -> Vec<(TargetName, TargetEntry)> {
         let inner = self.lock();
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -313,4 +313,23 @@
     },
     /// Gives a slot back.
     Release(rwd_placement::Outcome),
+    /// Asks the workspace's banker for quota units.
+    Demand {
+        /// The workspace.
+        workspace: WorkspaceName,
+        /// How many.
+        units: f64,
+    },
+    /// Units that may be used now.
+    Leased {
+        /// How many.
+        units: f64,
+    },
+    /// The quota is used up.
+    Exhausted {
+        /// When the demand can be met, in milliseconds.
+        retry_after_ms: f64,
+    },
+    /// The receiver does not know what was asked for.
+    Unknown,
 }
