--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,9 +13,9 @@
 
 /// How long one read of the configuration waits for a change. A key's removal binds within
 /// [`crate::Bounds::key_removal_ms`], so the view has to be confirmed several times in that time.
-const CONFIG_WAIT: Duration = Duration::from_millis(1200);
+const CONFIG_WAIT: Duration = Duration::from_millis(1700);
 /// Time between two reads of the registry; a leaving target must be left within two seconds.
-const TARGETS_PERIOD: Duration = Duration::from_millis(600);
+const TARGETS_PERIOD: Duration = Duration::from_millis(850);
 /// How long the store may take beyond the wait that was asked for.
 const CALL_LIMIT: Duration = Duration::from_millis(900);
 /// Longest pause after a failed call.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,6 +30,8 @@
 /// Part of the time in which a removed key may still be used that is kept as a margin, in
 /// milliseconds: requests travel before they are read.
 const KEY_MARGIN_MS: f64 = 500.0;
+/// Share of a route's aim for which a request waits for quota units rather than being sent away.
+const QUOTA_WAIT_SHARE: f64 = 0.2;
 /// Time kept for the way back to the caller, in milliseconds.
 const WAY_BACK_MS: f64 = 20.0;
 /// How long a body may take to arrive.
@@ -201,7 +203,14 @@
             true => quota.plain_tokens,
             false => 1.0,
         };
-        let taken = self.limiter.take(workspace, units).await;
+        let mut taken = self.limiter.take(workspace, units).await;
+        let bearable_ms = admitted.route.aim_ms * QUOTA_WAIT_SHARE;
+        if let Err(wait_ms) = taken
+            && wait_ms <= bearable_ms
+        {
+            tokio::time::sleep(Duration::from_secs_f64(wait_ms / 1000.0)).await;
+            taken = self.limiter.take(workspace, units).await;
+        }
         taken.map_err(|retry_after_ms| Refusal::OverQuota { retry_after_ms })?;
         admitted.units = units;
         Ok(())
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -14,7 +14,10 @@
 
 /// Share of the slack that a bucket may hold beyond the burst; the rest covers what nodes have
 /// leased and not used, and bankers that follow one another.
-const SLACK_SHARE: f64 = 0.3;
+const SLACK_SHARE: f64 = 0.65;
+/// Share of the tolerated excess by which a bucket fills faster than the quota's rate, so that
+/// clocks and rounding refuse nobody who is within it.
+const EXCESS_SHARE: f64 = 0.5;
 /// Share of the stated repeats that is used.
 const REPEAT_SHARE: f64 = 0.8;
 /// How long a node that is gone keeps its share, in milliseconds: for as long it may in truth be
@@ -94,7 +97,8 @@
     }
 
     fn fill(&mut self, quota: &Quota, share: f64, bounds: &Bounds, now: Moment) -> f64 {
-        let rate = quota.per_s * share / 1000.0;
+        let excess = 1.0 + EXCESS_SHARE * bounds.quota_excess;
+        let rate = quota.per_s * excess * share / 1000.0;
         let capacity = (quota.burst + bounds.quota_slack * SLACK_SHARE) * share;
         let gained = (now - self.at).max(0.0) * rate;
         self.level = (self.level + gained).min(capacity);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -51,6 +51,8 @@
     pub repeat_window_s: f64,
     /// Repeated sends beyond the share in one window, all nodes together.
     pub repeat_slack: f64,
+    /// Tolerated excess over a workspace's quota, as a share.
+    pub quota_excess: f64,
     /// Quota units that all nodes together may grant beyond a workspace's quota.
     pub quota_slack: f64,
     /// Longest time for which callers keep a lookup's answer, in seconds.
@@ -66,6 +68,7 @@
             repeat_ratio: 0.2,
             repeat_window_s: 10.0,
             repeat_slack: 50.0,
+            quota_excess: 0.0,
             quota_slack: 0.0,
             lookup_lifetime_s: 5.0,
         }
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -38,6 +38,10 @@
 /// How much of the decoding time counts in the choice of a target: fast targets free their slots
 /// sooner, but what callers wait for is the first token.
 const DECODE_WEIGHT: f64 = 0.3;
+/// Share of its time that an answer should take at most.
+const TIME_SHARE: f64 = 0.6;
+/// How much a millisecond beyond that counts.
+const OVERRUN_WEIGHT: f64 = 2.0;
 /// How much longer decoding gets from an empty to a full target, as a share.
 const FULL_BATCH_SLOWDOWN: f64 = 0.35;
 /// Prompt time that may delay the streams of one target, in milliseconds.
@@ -75,8 +79,6 @@
 pub(crate) struct InFlight {
     pub tokens: u32,
     pub uncached: u32,
-    pub output: u32,
-    pub granted: Moment,
     /// When the prompts ahead of it were expected to be done.
     pub queued_ms: f64,
 }
@@ -213,10 +215,20 @@
             + zone
             + disturbs
             + idle_share
+            + self.overrun_ms(offer, now) * OVERRUN_WEIGHT
             + self.failures(now) * FAILURE_MS
             + self.info.warm_up_ms.min(1000.0)
     }
 
+    // Expected milliseconds by which the answer would come after its time; some are kept in hand
+    // because lengths are estimates.
+    fn overrun_ms(&self, offer: &Offer, now: Moment) -> f64 {
+        match offer.prompt {
+            0 => 0.0,
+            _ => (self.busy_ms(offer, now) - offer.time_left_ms * TIME_SHARE).max(0.0),
+        }
+    }
+
     pub fn failures(&self, now: Moment) -> f64 {
         self.failures * (-(now - self.failures_at).max(0.0) / FAILURE_DECAY_MS).exp()
     }
@@ -232,8 +244,6 @@
         let in_flight = InFlight {
             tokens: offer.prompt + offer.output,
             uncached,
-            output: offer.output,
-            granted: now,
             queued_ms: start - now,
         };
         self.in_flight.insert(id, in_flight);
@@ -285,24 +295,6 @@
         self.failures = failures + weight * (1.0 - failures);
         self.failures_at = now;
     }
-
-    /// Milliseconds until a slot is expected to come free; zero if one is.
-    pub fn slot_free_in(&self, now: Moment) -> f64 {
-        if (self.in_flight.len() as u32) < self.info.capacity.slots {
-            return (self.paused_until - now).max(0.0);
-        }
-        let ends = self.in_flight.values().map(|f| {
-            let work = f.queued_ms
-                + self.prefill_ms(f.uncached)
-                + f64::from(f.output) * self.step_ms * (1.0 + FULL_BATCH_SLOWDOWN);
-            let work = match f.tokens {
-                0 => self.call_ms,
-                _ => work,
-            };
-            (f.granted + work - now).max(1.0)
-        });
-        ends.fold(f64::INFINITY, f64::min)
-    }
 }
 
 fn blend(estimate: &mut f64, sample: f64) {
