Mark what is beyond a quota and serve it last; count prompt backlogs in tokens

Now units are marked as in RFC 2698, late and hopeless work waits behind what can be on time, the backlog is kept in tokens, and high samples of speed count less.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 
 use crate::channel::SharedChannels;
 use crate::limits::Limiter;
+use crate::quota::Mark;
 use crate::refusal::Refusal;
 use crate::run::Run;
 use crate::slots::Slots;
@@ -84,6 +85,8 @@
     pub deadline: Moment,
     /// Quota units that were taken.
     pub units: f64,
+    /// Whether they are beyond the quota and only tolerated.
+    pub beyond_quota: bool,
     pub catalog: Arc<Catalog>,
 }
 
@@ -184,6 +187,7 @@
             arrived,
             deadline: arrived + timeout_ms,
             units: 0.0,
+            beyond_quota: false,
             catalog,
         })
     }
@@ -211,7 +215,8 @@
             tokio::time::sleep(Duration::from_secs_f64(wait_ms / 1000.0)).await;
             taken = self.limiter.take(workspace, units).await;
         }
-        taken.map_err(|retry_after_ms| Refusal::OverQuota { retry_after_ms })?;
+        let mark = taken.map_err(|retry_after_ms| Refusal::OverQuota { retry_after_ms })?;
+        admitted.beyond_quota = mark == Mark::Beyond;
         admitted.units = units;
         Ok(())
     }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::quota::{Bank, Lease, Nodes, Purse, RepeatBudget, Shares};
+use crate::quota::{Bank, Lease, Mark, Nodes, Purse, RepeatBudget, Shares};
 use crate::{Bounds, Catalog, Views, Workspace, clock};
 
 /// How long a banker may take to answer: some round trips between zones.
@@ -83,12 +83,12 @@
     /// # Errors
     ///
     /// The milliseconds after which they will be there.
-    pub async fn take(&self, workspace: &Workspace, units: f64) -> Result<(), f64> {
+    pub async fn take(&self, workspace: &Workspace, units: f64) -> Result<Mark, f64> {
         if workspace.quota.per_s <= 0.0 {
-            return Ok(());
+            return Ok(Mark::Within);
         }
         if self.lock().purse.take(&workspace.name, units, clock::now()) {
-            return Ok(());
+            return Ok(Mark::Within);
         }
         let banker = self.banker(&workspace.name);
         let lease = match banker {
@@ -102,10 +102,13 @@
             _ => self.lease(workspace, units),
         };
         match lease {
-            Lease::Granted { units: granted } => {
+            Lease::Granted {
+                units: granted,
+                mark,
+            } => {
                 let mut inner = self.lock();
                 inner.purse.put(&workspace.name, granted - units, clock::now());
-                Ok(())
+                Ok(mark)
             }
             Lease::Exhausted { retry_after_ms } => Err(retry_after_ms),
         }
@@ -149,7 +152,10 @@
             units,
         };
         match self.links.ask(banker, &demand, BANKER_LIMIT).await? {
-            Message::Leased { units } => Ok(Lease::Granted { units }),
+            Message::Leased { units, within } => {
+                let mark = if within { Mark::Within } else { Mark::Beyond };
+                Ok(Lease::Granted { units, mark })
+            }
             Message::Exhausted { retry_after_ms } => Ok(Lease::Exhausted { retry_after_ms }),
             _ => Err(Error::Unexpected),
         }
@@ -165,7 +171,10 @@
             None => return Message::Unknown,
         };
         match lease {
-            Lease::Granted { units } => Message::Leased { units },
+            Lease::Granted { units, mark } => Message::Leased {
+                units,
+                within: mark == Mark::Within,
+            },
             Lease::Exhausted { retry_after_ms } => Message::Exhausted { retry_after_ms },
         }
     }
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -27,6 +27,10 @@
 const LEASE_MS: f64 = 1500.0;
 /// Units leased beyond the need of one request, as a share of what the bucket holds.
 const SPARE_SHARE: f64 = 0.01;
+/// Least burst that a bucket holds, in seconds of its rate.
+const MIN_BURST_S: f64 = 0.5;
+/// Share of a full bucket at which a request larger than it passes.
+const NEARLY_FULL: f64 = 0.95;
 /// Longest time after which a refused caller is told to come back, in milliseconds.
 const MAX_RETRY_AFTER_MS: f64 = 10_000.0;
 
@@ -78,47 +82,75 @@
 }
 
 /// A bucket of quota units that fills with time.
+///
+/// Units within the quota and units that are merely tolerated are kept apart, as in the two-rate
+/// marker of RFC 2698: what is beyond the quota is served only where it takes nobody's place.
 #[derive(Clone, Debug)]
 struct Bucket {
-    level: f64,
+    within: f64,
+    beyond: f64,
     at: Moment,
     // Units that refused callers were told to come back for.
     promised: f64,
 }
 
+/// How fast a bucket fills, in units a millisecond, and how much it holds.
+struct Fill {
+    rate: f64,
+    within: f64,
+    excess_rate: f64,
+    beyond: f64,
+}
+
+impl Fill {
+    fn new(quota: &Quota, share: f64, bounds: &Bounds) -> Self {
+        let rate = quota.per_s * share / 1000.0;
+        Self {
+            rate,
+            within: quota.burst.max(quota.per_s * MIN_BURST_S) * share,
+            excess_rate: rate * EXCESS_SHARE * bounds.quota_excess,
+            beyond: bounds.quota_slack * SLACK_SHARE * share,
+        }
+    }
+}
+
 impl Bucket {
     // Empty, so that one that replaces a lost one grants nothing twice.
     fn new(now: Moment) -> Self {
         Self {
-            level: 0.0,
+            within: 0.0,
+            beyond: 0.0,
             at: now,
             promised: 0.0,
         }
     }
 
-    fn fill(&mut self, quota: &Quota, share: f64, bounds: &Bounds, now: Moment) -> f64 {
-        let excess = 1.0 + EXCESS_SHARE * bounds.quota_excess;
-        let rate = quota.per_s * excess * share / 1000.0;
-        let capacity = (quota.burst + bounds.quota_slack * SLACK_SHARE) * share;
-        let gained = (now - self.at).max(0.0) * rate;
-        self.level = (self.level + gained).min(capacity);
+    fn fill(&mut self, fill: &Fill, now: Moment) {
+        let ms = (now - self.at).max(0.0);
+        let gained = ms * fill.rate;
+        let spilt = (self.within + gained - fill.within).max(0.0);
+        self.within += gained - spilt;
+        // What the quota does not use makes up for what was tolerated before.
+        self.beyond = (self.beyond + ms * fill.excess_rate + spilt).min(fill.beyond);
         self.promised = (self.promised - gained).max(0.0);
         self.at = now;
-        rate
     }
 
-    // A request larger than the whole bucket passes when that is full; the level goes below zero.
-    fn take(&mut self, quota: &Quota, share: f64, bounds: &Bounds, units: f64) -> bool {
-        let capacity = (quota.burst + bounds.quota_slack * SLACK_SHARE) * share;
-        let enough = self.level >= units.min(capacity * 0.95);
-        if enough {
-            self.level -= units;
+    // A request larger than a whole bucket passes when that is full; the level goes below zero.
+    fn take(&mut self, fill: &Fill, units: f64) -> Option<Mark> {
+        if self.within >= units.min(fill.within * NEARLY_FULL) {
+            self.within -= units;
+            return Some(Mark::Within);
+        }
+        if self.beyond >= units {
+            self.beyond -= units;
+            return Some(Mark::Beyond);
         }
-        enough
+        None
     }
 
     fn refuse(&mut self, units: f64, rate: f64) -> f64 {
-        let wait = (units + self.promised - self.level).max(0.0) / rate.max(1e-9);
+        let wait = (units + self.promised - self.within).max(0.0) / rate.max(1e-9);
         if wait < MAX_RETRY_AFTER_MS {
             self.promised += units;
         }
@@ -126,6 +158,15 @@
     }
 }
 
+/// Whether units are within a quota or only tolerated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mark {
+    /// Within the quota.
+    Within,
+    /// Beyond it, within what is tolerated.
+    Beyond,
+}
+
 /// What a banker or a node's own share says to a demand.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Lease {
@@ -133,6 +174,8 @@
     Granted {
         /// How many; at least the demand.
         units: f64,
+        /// Whether they are within the quota.
+        mark: Mark,
     },
     /// The quota is used up.
     Exhausted {
@@ -166,16 +209,24 @@
     ) -> Lease {
         let bucket = self.buckets.entry(workspace.clone());
         let bucket = bucket.or_insert_with(|| Bucket::new(now));
-        let share = nodes.visible_share();
-        let rate = bucket.fill(quota, share, bounds, now);
-        if !bucket.take(quota, share, bounds, units) {
-            let retry_after_ms = bucket.refuse(units, rate);
-            return Lease::Exhausted { retry_after_ms };
-        }
-        let spare = (bucket.level * SPARE_SHARE).max(0.0);
-        bucket.level -= spare;
-        Lease::Granted {
-            units: units + spare,
+        let fill = Fill::new(quota, nodes.visible_share(), bounds);
+        bucket.fill(&fill, now);
+        match bucket.take(&fill, units) {
+            Some(Mark::Within) => {
+                let spare = (bucket.within * SPARE_SHARE).max(0.0);
+                bucket.within -= spare;
+                Lease::Granted {
+                    units: units + spare,
+                    mark: Mark::Within,
+                }
+            }
+            Some(Mark::Beyond) => Lease::Granted {
+                units,
+                mark: Mark::Beyond,
+            },
+            None => Lease::Exhausted {
+                retry_after_ms: bucket.refuse(units, fill.rate),
+            },
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -161,6 +161,12 @@
                 Next::End => {
                     self.run.gateway.channels.put_back(channel, &parts.headers);
                     let output = (self.events - before) * self.tokens_per_event();
+                    info!(
+                        event = "stream_end", request:% = self.run.admitted.head.id,
+                        target:% = slot.target, first_ms = first_ms as u64,
+                        rest_ms = (clock::now() - begun) as u64, events = self.events - before;
+                        "a target ended its stream"
+                    );
                     slot.release(Outcome::Complete {
                         first_ms,
                         rest_ms: clock::now() - begun,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -184,6 +184,7 @@
         if left_ms < MIN_SEND_MS {
             return Err(Refusal::Timeout);
         }
+        let asked = clock::now();
         let slot = self.gateway.slots.acquire(self.offer());
         let limit = Duration::from_secs_f64(left_ms / 1000.0);
         let slot = match timeout(limit, slot).await {
@@ -191,7 +192,10 @@
             Ok(Err(declined)) => {
                 info!(event = "declined", request:% = self.admitted.head.id, no_target = declined.no_target; "no slot");
                 let retry_after_ms = declined.retry_after_ms;
-                return Err(Refusal::Overload { retry_after_ms });
+                return Err(match self.admitted.beyond_quota {
+                    true => Refusal::OverQuota { retry_after_ms },
+                    false => Refusal::Overload { retry_after_ms },
+                });
             }
             Err(_) if self.sends == 0 => return Err(Refusal::NotRun),
             Err(_) => return Err(Refusal::Timeout),
@@ -206,6 +210,13 @@
             info!(event = "repeat_budget", request:% = self.admitted.head.id; "no budget for another send");
             return Err(Refusal::NotRun);
         }
+        info!(
+            event = "dispatch", request:% = self.admitted.head.id, target:% = sending.slot.target,
+            scheduler:% = sending.slot.scheduler, waited_ms = (sent - asked) as u64,
+            expected_ms = sending.slot.first_ms as u64, after:? = last_event,
+            list_age_ms = self.gateway.views.targets_age_ms() as u64;
+            "sending to a target"
+        );
         let attempt = self.send(&mut sending, last_event).await;
         Ok((sending, attempt))
     }
@@ -224,6 +235,7 @@
             time_left_ms: self.left_ms(),
             zone: self.gateway.zone.clone(),
             exclude: self.exclude.clone(),
+            beyond_quota: a.beyond_quota,
             resumes: self.sends > 0,
         }
     }
--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -77,6 +77,8 @@
     pub zone: ZoneName,
     /// Targets that this request has been sent to before.
     pub exclude: Vec<TargetName>,
+    /// Whether the workspace is beyond its quota, so that the request must take nobody's place.
+    pub beyond_quota: bool,
     /// Whether the request has produced a part of its answer already.
     pub resumes: bool,
 }
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -16,6 +16,11 @@
 /// Share of its remaining time after which a caller ignores `Retry-After`.
 const MAX_RETURN_SHARE: f64 = 0.3;
 
+/// How much longer than estimated the first byte may take.
+const ESTIMATE_MARGIN: f64 = 1.2;
+/// Share of its aim for which a request beyond its workspace's quota waits.
+const BEYOND_WAIT_SHARE: f64 = 0.1;
+
 /// Settings of a scheduler.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementSettings {
@@ -69,11 +74,37 @@
     since: Moment,
 }
 
+/// The order in which waiting requests are served.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+enum Order {
+    /// A stream that broke and goes on: its caller waits in the middle of an answer.
+    Resumes(f64),
+    /// Can still be on time: by value, then by who is late soonest.
+    OnTime(Rank, f64),
+    /// Will be late: by value, then by age.
+    Late(Rank, f64),
+    /// Beyond its workspace's quota.
+    Beyond(Rank, f64),
+}
+
 impl Waiting {
-    // On time first, then by value, then by who is late soonest.
-    fn order(&self, now: Moment) -> (bool, Rank, f64) {
+    // `first_ms` is what the pool's targets need for a prompt of this length.
+    fn order(&self, now: Moment, first_ms: f64) -> Order {
         let aim_left = self.offer.aim_left_ms - (now - self.since);
-        (aim_left <= 0.0, self.offer.rank, aim_left)
+        match () {
+            _ if self.offer.resumes => Order::Resumes(aim_left),
+            _ if self.offer.beyond_quota => Order::Beyond(self.offer.rank, aim_left),
+            _ if aim_left > first_ms * ESTIMATE_MARGIN => Order::OnTime(self.offer.rank, aim_left),
+            _ => Order::Late(self.offer.rank, aim_left),
+        }
+    }
+
+    // How long the request may wait before it is refused, in milliseconds.
+    fn patience(&self, cfg: &PlacementSettings) -> f64 {
+        match self.offer.beyond_quota {
+            true => self.offer.aim_left_ms.max(0.0) * BEYOND_WAIT_SHARE,
+            false => self.offer.time_left_ms * cfg.wait_share,
+        }
     }
 }
 
@@ -182,8 +213,7 @@
             if pool.waiting.is_empty() {
                 continue;
             }
-            pool.waiting
-                .sort_by(|a, b| a.order(now).partial_cmp(&b.order(now)).unwrap_or(std::cmp::Ordering::Equal));
+            pool.sort(now);
             let granted = pool.grant_free(now);
             for (w, target, address, first_ms) in granted {
                 self.granted.insert(w.id, (name.clone(), target.clone()));
@@ -227,6 +257,17 @@
 type Granted = (Waiting, TargetName, SocketAddr, f64);
 
 impl Pool {
+    fn sort(&mut self, now: Moment) {
+        let targets = self.targets.values().filter(|t| t.is_usable(now));
+        let speeds = targets.map(Target::prefill_ms_per_token);
+        let per_token = median(speeds.collect());
+        let order = |w: &Waiting| w.order(now, f64::from(w.offer.prompt) * per_token);
+        self.waiting.sort_by(|a, b| {
+            let order = order(a).partial_cmp(&order(b));
+            order.unwrap_or(std::cmp::Ordering::Equal)
+        });
+    }
+
     fn grant_free(&mut self, now: Moment) -> Vec<Granted> {
         let mut out = Vec::new();
         let mut index = 0;
@@ -262,8 +303,7 @@
         while index < self.waiting.len() {
             let w = &self.waiting[index];
             let waited_ms = now - w.since;
-            let patience = w.offer.time_left_ms * cfg.wait_share;
-            if waited_ms < patience {
+            if waited_ms < w.patience(cfg) {
                 index += 1;
                 continue;
             }
@@ -295,3 +335,8 @@
         (at - now).min(left * MAX_RETURN_SHARE)
     }
 }
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(0.0)
+}
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -7,13 +7,19 @@
 use crate::{Moment, Offer, OfferId, Outcome, PromptCache};
 
 /// Weight of a new sample in running estimates.
-const SAMPLE_WEIGHT: f64 = 0.25;
+const SAMPLE_WEIGHT: f64 = 0.3;
+/// Weight of a sample above the estimate.
+const HIGH_SAMPLE_WEIGHT: f64 = 0.12;
+/// Most that one sample may exceed the estimate, as a factor.
+const MAX_SAMPLE_FACTOR: f64 = 3.0;
 /// Prompt speed assumed before any measurement, in milliseconds a token.
 const PREFILL_MS_PER_TOKEN: f64 = 0.03;
 /// Time between tokens assumed before any measurement, in milliseconds.
 const STEP_MS: f64 = 4.0;
 /// Work of one plain call assumed before any measurement, in milliseconds.
 const CALL_MS: f64 = 40.0;
+/// Part of the time to the first byte that does not depend on the prompt, in milliseconds.
+const BASE_FIRST_MS: f64 = 20.0;
 /// Prompts shorter than this say little about the prompt speed, in tokens.
 const MIN_PREFILL_SAMPLE: u32 = 400;
 /// Answers shorter than this say little about the time between tokens, in tokens.
@@ -40,6 +46,9 @@
 const DECODE_WEIGHT: f64 = 0.3;
 /// Share of its time that an answer should take at most.
 const TIME_SHARE: f64 = 0.6;
+/// Share of a target's slots that requests beyond a quota may use: streams hold their slots for
+/// long, and those within their quotas come in bursts.
+const BEYOND_SLOT_SHARE: f64 = 0.6;
 /// How much a millisecond beyond that counts.
 const OVERRUN_WEIGHT: f64 = 2.0;
 /// How much longer decoding gets from an empty to a full target, as a share.
@@ -79,8 +88,8 @@
 pub(crate) struct InFlight {
     pub tokens: u32,
     pub uncached: u32,
-    /// When the prompts ahead of it were expected to be done.
-    pub queued_ms: f64,
+    /// Prompt tokens that were still to be processed before its own.
+    pub ahead: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -88,8 +97,9 @@
     pub info: TargetInfo,
     pub in_flight: IndexMap<OfferId, InFlight>,
     pub cache: PromptCache,
-    /// When the prompts sent so far will have been processed.
-    prefill_done: Moment,
+    /// Prompt tokens sent and, as far as can be told, not processed yet.
+    backlog: f64,
+    backlog_at: Moment,
     prefill_ms_per_token: f64,
     step_ms: f64,
     call_ms: f64,
@@ -105,7 +115,8 @@
             info,
             in_flight: IndexMap::new(),
             cache: PromptCache::default(),
-            prefill_done: Moment::default(),
+            backlog: 0.0,
+            backlog_at: Moment::default(),
             prefill_ms_per_token: PREFILL_MS_PER_TOKEN,
             step_ms: STEP_MS,
             call_ms: CALL_MS,
@@ -136,8 +147,12 @@
             Some(cap) => self.in_flight.is_empty() || self.fits(offer, cap),
             None => true,
         };
+        let slots = match offer.beyond_quota {
+            true => (f64::from(self.info.capacity.slots) * BEYOND_SLOT_SHARE) as usize,
+            false => self.info.capacity.slots as usize,
+        };
         self.is_usable(now)
-            && (self.in_flight.len() as u32) < self.info.capacity.slots
+            && self.in_flight.len() < slots
             && fits
             && !offer.exclude.contains(&self.info.name)
     }
@@ -163,6 +178,11 @@
         }
     }
 
+    /// Milliseconds for one token of a prompt.
+    pub fn prefill_ms_per_token(&self) -> f64 {
+        self.prefill_ms_per_token
+    }
+
     fn uncached(&self, offer: &Offer) -> u32 {
         offer.prompt.saturating_sub(self.cache.kept(&offer.parts))
     }
@@ -171,14 +191,20 @@
         f64::from(uncached) * self.prefill_ms_per_token
     }
 
+    // Prompts are processed one after the other, beside the streams in progress.
+    fn backlog(&self, now: Moment) -> f64 {
+        let done = (now - self.backlog_at).max(0.0) / self.prefill_ms_per_token;
+        let sent: f64 = self.in_flight.values().map(|f| f64::from(f.uncached)).sum();
+        (self.backlog - done).clamp(0.0, sent)
+    }
+
     /// Expected milliseconds from now to the first byte of the answer.
     pub fn first_ms(&self, offer: &Offer, now: Moment) -> f64 {
         match offer.prompt {
             0 => self.call_ms,
             _ => {
-                (self.prefill_done - now).max(0.0)
-                    + self.prefill_ms(self.uncached(offer))
-                    + self.step_ms
+                let tokens = self.backlog(now) + f64::from(self.uncached(offer));
+                tokens * self.prefill_ms_per_token + BASE_FIRST_MS
             }
         }
     }
@@ -235,16 +261,14 @@
 
     pub fn grant(&mut self, id: OfferId, offer: &Offer, now: Moment) {
         let uncached = self.uncached(offer);
-        let start = match self.prefill_done > now {
-            true => self.prefill_done,
-            false => now,
-        };
-        self.prefill_done = start + self.prefill_ms(uncached);
+        let ahead = self.backlog(now);
+        self.backlog = ahead + f64::from(uncached);
+        self.backlog_at = now;
         self.cache.store(&offer.parts, now);
         let in_flight = InFlight {
             tokens: offer.prompt + offer.output,
             uncached,
-            queued_ms: start - now,
+            ahead,
         };
         self.in_flight.insert(id, in_flight);
     }
@@ -282,8 +306,9 @@
             return;
         }
         if done.uncached >= MIN_PREFILL_SAMPLE {
-            let own = (first_ms - done.queued_ms).max(1.0);
-            blend(&mut self.prefill_ms_per_token, own / f64::from(done.uncached));
+            let tokens = f64::from(done.uncached) + done.ahead;
+            let ms = (first_ms - BASE_FIRST_MS).max(1.0);
+            blend(&mut self.prefill_ms_per_token, ms / tokens);
         }
         if output >= MIN_STEP_SAMPLE {
             blend(&mut self.step_ms, rest_ms / f64::from(output));
@@ -297,6 +322,12 @@
     }
 }
 
+// Waiting inside a target only ever adds to a sample, so high samples count less.
 fn blend(estimate: &mut f64, sample: f64) {
-    *estimate += SAMPLE_WEIGHT * (sample - *estimate);
+    let weight = match sample < *estimate {
+        true => SAMPLE_WEIGHT,
+        false => HIGH_SAMPLE_WEIGHT,
+    };
+    let bounded = sample.min(*estimate * MAX_SAMPLE_FACTOR);
+    *estimate += weight * (bounded - *estimate);
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -324,6 +324,8 @@
     Leased {
         /// How many.
         units: f64,
+        /// Whether they are within the quota, not only tolerated.
+        within: bool,
     },
     /// The quota is used up.
     Exhausted {
