One node of a group reads the store; the others ask it

Now the first by rendezvous of a zone (of all nodes where zones are small) reads, the others ask it; ages count from the moment of asking. A read that waited in vain for its whole time now counts from its end, since only then did it see the end of the log.

--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -3,8 +3,8 @@
 use log::{info, warn};
 use rand::seq::SliceRandom;
 use rwd_config::Configuration;
-use rwd_peer::{Directory, Exchange, Links, Membership, rank};
 use rwd_edge::Log;
+use rwd_peer::{Directory, Exchange, Links, Membership, rank};
 use rwd_types::{InstanceName, LogOffset, Revision};
 use rwd_wire::Message;
 use std::sync::{Arc, Mutex, MutexGuard};
--- a/crates/control/tests/publishing.rs
+++ b/crates/control/tests/publishing.rs
@@ -2,10 +2,10 @@
 
 use futures_util::future::BoxFuture;
 use rwd_control::{Control, ControlSettings, Edit, Error, PublishId, STREAM};
+use rwd_edge::{Batch, Log, LogRecord};
 use rwd_peer::{
     ByteCounter, Directory, KeepAlive, LinkSettings, Links, Membership, MembershipSettings,
 };
-use rwd_edge::{Batch, Log, LogRecord};
 use rwd_types::{Incarnation, LogOffset, PresetName, Revision, Secret};
 use rwd_wire::{Liveness, MemberUpdate};
 use serde_json::json;
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -30,7 +30,9 @@
         Err(e) => {
             eprintln!("redwingdrift: {e}");
             match e {
-                Error::Flag { .. } | Error::Config(_) | Error::Settings(_) => ExitCode::from(EXIT_BAD_INPUT),
+                Error::Flag { .. } | Error::Config(_) | Error::Settings(_) => {
+                    ExitCode::from(EXIT_BAD_INPUT)
+                }
                 _ => ExitCode::FAILURE,
             }
         }
--- a/crates/core/tests/processes/helper.rs
+++ b/crates/core/tests/processes/helper.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::Full;
-use rwd_lab::{Caller, CallerSettings, RequestSpec, Shape};
 use rwd_edge::HttpClient;
+use rwd_lab::{Caller, CallerSettings, RequestSpec, Shape};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
--- a/crates/entry/src/home.rs
+++ b/crates/entry/src/home.rs
@@ -1,9 +1,9 @@
 //! The home of requests: what one node holds for its callers.
 
 use rwd_control::{Control, Limiter};
+use rwd_edge::Targets;
 use rwd_metrics::Metrics;
 use rwd_peer::{Directory, Links, Membership};
-use rwd_edge::Targets;
 use rwd_sched::{Baseline, OutputEstimates, Scheduler, Topology};
 use rwd_types::{InstanceName, KeyPrefix, Millis, Secret, WorkspaceName, ZoneName};
 use std::sync::Arc;
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -1,10 +1,10 @@
 //! The configuration in force: routes, workspaces and their keys, pools, limits.
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use indexmap::IndexMap;
-use rwd_placement::TargetInfo;
-use rwd_types::{PoolName, TargetName, WorkspaceName, ZoneName};
-use std::net::SocketAddr;
+use rwd_placement::{Capacity, TargetEntry, TargetInfo};
+use rwd_types::{PoolName, TargetName, WorkspaceName};
 use std::sync::Arc;
 
 /// What may be done with a request that got no answer.
@@ -112,6 +112,8 @@
     workspaces: IndexMap<WorkspaceName, Arc<Workspace>>,
     /// What callers may send.
     pub limits: Limits,
+    /// The record that it was read from, for nodes that do not read the store themselves.
+    pub source: Bytes,
 }
 
 impl Catalog {
@@ -145,6 +147,7 @@
             keys: by_key,
             workspaces: by_name,
             limits,
+            source: Bytes::new(),
         }
     }
 
@@ -155,7 +158,9 @@
             Some(routes) => routes,
             None => self.routes.get(host.to_lowercase().as_str())?,
         };
-        routes.iter().find(|r| path.starts_with(r.path_prefix.as_str()))
+        routes
+            .iter()
+            .find(|r| path.starts_with(r.path_prefix.as_str()))
     }
 
     /// The workspace that holds a key.
@@ -179,46 +184,20 @@
     }
 }
 
-/// A target's entry in the registry.
-#[derive(Clone, Debug, PartialEq)]
-pub struct TargetEntry {
-    /// The pool it serves.
-    pub pool: PoolName,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Requests that it works on at once, if it says so.
-    pub slots: Option<u32>,
-    /// Whether it is to get no new work.
-    pub leaving: bool,
-    /// Milliseconds for which it stays slow after its start.
-    pub warm_up_ms: f64,
-    /// Start of the process, in Unix milliseconds.
-    pub born: u64,
-    /// Orders the entries of one process.
-    pub sequence: u64,
-}
-
-impl TargetEntry {
-    /// Whether this entry replaces `old`: entries may arrive late and out of order.
-    pub fn replaces(&self, old: &Self) -> bool {
-        (self.born, self.sequence) >= (old.born, old.sequence)
-    }
-
-    /// The entry as a scheduler needs it.
-    pub fn info(&self, name: &TargetName, pool: &Pool) -> TargetInfo {
+impl Pool {
+    /// A registry entry as a scheduler needs it.
+    pub fn target_info(&self, name: &TargetName, entry: &TargetEntry) -> TargetInfo {
         TargetInfo {
             name: name.clone(),
-            born: self.born,
-            address: self.address,
-            zone: self.zone.clone(),
-            capacity: rwd_placement::Capacity {
-                slots: self.slots.or(pool.slots).unwrap_or(1),
-                memory_tokens: pool.memory_tokens,
+            born: entry.born,
+            address: entry.address,
+            zone: entry.zone.clone(),
+            capacity: Capacity {
+                slots: entry.slots.or(self.slots).unwrap_or(1),
+                memory_tokens: self.memory_tokens,
             },
-            leaving: self.leaving,
-            warm_up_ms: self.warm_up_ms,
+            leaving: entry.leaving,
+            warm_up_ms: entry.warm_up_ms,
         }
     }
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -7,13 +7,13 @@
 use compact_str::CompactString;
 use derive_more::{Display, Error, From};
 use http::{HeaderMap, request, response};
-use rwd_placement::PromptPart;
+use rwd_placement::{PromptPart, TargetEntry};
 use rwd_types::{RegionName, TargetName, WorkspaceName, ZoneName};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::{Catalog, TargetEntry};
+use crate::Catalog;
 
 /// A request that cannot be understood.
 #[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
@@ -213,6 +213,9 @@
         limit: Duration,
     ) -> impl Future<Output = Result<Batch, StoreError>> + Send;
 
+    /// Reads a configuration record that another node has passed on.
+    fn catalog(&self, source: Bytes) -> Record;
+
     /// Announces this node to the others.
     fn announce(
         &self,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,15 +7,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 
 use crate::settings::instance_at;
 use crate::{Feed, GatewaySettings, Record, Store, StoreError, Views, clock};
 
 /// How long one read of the configuration waits for a change. A key's removal binds within
 /// [`crate::Bounds::key_removal_ms`], so the view has to be confirmed several times in that time.
-const CONFIG_WAIT: Duration = Duration::from_millis(1700);
+const CONFIG_WAIT: Duration = Duration::from_millis(900);
 /// Time between two reads of the registry; a leaving target must be left within two seconds.
-const TARGETS_PERIOD: Duration = Duration::from_millis(850);
+const TARGETS_PERIOD: Duration = Duration::from_millis(600);
 /// How long the store may take beyond the wait that was asked for.
 const CALL_LIMIT: Duration = Duration::from_millis(900);
 /// Longest pause after a failed call.
@@ -63,6 +64,11 @@
         }
     }
 
+    // Time in which this node did not read says nothing about the store.
+    fn resume(&mut self) {
+        self.last_good = clock::now();
+    }
+
     // Whether the store had been away before this answer.
     fn good(&mut self, at: Moment) -> bool {
         let away_ms = at - self.last_good;
@@ -82,19 +88,46 @@
     }
 }
 
+// A read that waited in vain for its whole time saw the end of the log only then.
+fn true_as_of(asked: Moment, was_empty: bool) -> Moment {
+    let waited = asked + CONFIG_WAIT.as_millis() as f64;
+    match was_empty && clock::now() >= waited {
+        true => waited,
+        false => asked,
+    }
+}
+
+async fn await_turn(reads: &mut watch::Receiver<bool>) {
+    if reads.wait_for(|reads| *reads).await.is_err() {
+        // The node is going down.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Keeps the configuration up to date until the task is dropped.
-pub(crate) async fn configuration<S: Store>(store: Arc<S>, views: Arc<Views>) {
+pub(crate) async fn configuration<S: Store>(
+    store: Arc<S>,
+    views: Arc<Views>,
+    mut reads: watch::Receiver<bool>,
+) {
     let mut contact = Contact::new(Feed::Configuration);
     let mut backoff = Backoff::default();
     let mut next: Option<u64> = None;
     loop {
+        if !*reads.borrow() {
+            await_turn(&mut reads).await;
+            contact.resume();
+            next = None;
+        }
         // Taken before the call: what the store says was true at some time after this.
         let asked = clock::now();
         let result = match next {
             None => store.newest(Feed::Configuration, CALL_LIMIT).await,
             Some(from) => {
                 let limit = CONFIG_WAIT + CALL_LIMIT;
-                store.read(Feed::Configuration, from, CONFIG_WAIT, limit).await
+                store
+                    .read(Feed::Configuration, from, CONFIG_WAIT, limit)
+                    .await
             }
         };
         match result {
@@ -102,6 +135,7 @@
                 contact.good(asked);
                 backoff.reset();
                 let mut readable = true;
+                let was_empty = batch.records.is_empty();
                 for record in batch.records {
                     match record {
                         Record::Catalog(catalog) => views.apply_catalog(*catalog),
@@ -114,7 +148,7 @@
                 }
                 next = Some(batch.next);
                 if readable && views.catalog().is_some() {
-                    views.confirm_catalog(asked);
+                    views.confirm_catalog(true_as_of(asked, was_empty));
                 }
             }
             Err(StoreError::Gone) => next = None,
@@ -127,7 +161,12 @@
 }
 
 /// Keeps the registry of targets up to date until the task is dropped.
-pub(crate) async fn targets<S: Store>(store: Arc<S>, views: Arc<Views>, timer: Timer) {
+pub(crate) async fn targets<S: Store>(
+    store: Arc<S>,
+    views: Arc<Views>,
+    timer: Timer,
+    mut reads: watch::Receiver<bool>,
+) {
     let mut contact = Contact::new(Feed::Targets);
     let mut backoff = Backoff::default();
     let mut ticks = timer.every(TARGETS_PERIOD);
@@ -135,6 +174,11 @@
     // Entries that lapsed while the store was away get time to return.
     let mut returning_until = Moment::default();
     loop {
+        if !*reads.borrow() {
+            await_turn(&mut reads).await;
+            contact.resume();
+            next = None;
+        }
         let asked = clock::now();
         let result = match next {
             None => store.newest(Feed::Targets, CALL_LIMIT).await,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,7 +23,7 @@
 use crate::refusal::Refusal;
 use crate::run::Run;
 use crate::slots::Slots;
-use crate::{Catalog, CallerHead, Protocol, Route, Views, Workspace, clock};
+use crate::{CallerHead, Catalog, Protocol, Route, Views, Workspace, clock};
 
 /// Age from which on a configuration does not show that a key or a route is unknown, as a share of
 /// the time in which a new one must be in force.
@@ -111,7 +111,9 @@
                 return refused(&admitted.head.id, refusal);
             }
         };
-        Run::new(self, admitted, parts, body, in_progress).answer().await
+        Run::new(self, admitted, parts, body, in_progress)
+            .answer()
+            .await
     }
 
     async fn read_body(&self, body: Incoming, admitted: &Admitted) -> Result<Bytes, Refusal> {
@@ -136,7 +138,9 @@
             }
         };
         let id = head.id.clone();
-        let mut admitted = self.admit_head(parts, head, arrived).map_err(|r| (id.clone(), r))?;
+        let mut admitted = self
+            .admit_head(parts, head, arrived)
+            .map_err(|r| (id.clone(), r))?;
         match self.take_units(&mut admitted).await {
             Ok(()) => Ok(admitted),
             Err(refusal) => Err((id, refusal)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod gateway;
 mod limits;
+mod news;
 mod node;
 mod owner;
 mod quota;
@@ -25,7 +26,7 @@
 mod slots;
 mod views;
 
-pub use crate::catalog::{Catalog, Limits, Pool, Quota, Repeat, Route, TargetEntry, Workspace};
+pub use crate::catalog::{Catalog, Limits, Pool, Quota, Repeat, Route, Workspace};
 pub use crate::edge::{
     AnswerHead, BadRequest, Batch, CallerHead, Feed, Lookup, NodeEntry, Protocol, Record, Store,
     StoreError, TargetHead,
@@ -34,6 +35,6 @@
 pub use crate::gateway::{Aborted, Body};
 pub use crate::node::{GatewayNode, NodeError};
 pub use crate::quota::{Bank, Lease, Mark, Nodes, Purse, RepeatBudget, Shares};
-pub use crate::shards::{Shard, cut};
 pub use crate::settings::{Bounds, GatewaySettings, Listen, SettingsError, instance_at};
+pub use crate::shards::{Shard, cut};
 pub use crate::views::Views;
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -56,7 +56,10 @@
 
     /// The bounds in force.
     pub fn bounds(&self) -> Bounds {
-        self.bounds.lock().unwrap_or_else(|e| e.into_inner()).clone()
+        self.bounds
+            .lock()
+            .unwrap_or_else(|e| e.into_inner())
+            .clone()
     }
 
     /// Puts other bounds in force.
@@ -107,7 +110,9 @@
                 mark,
             } => {
                 let mut inner = self.lock();
-                inner.purse.put(&workspace.name, granted - units, clock::now());
+                inner
+                    .purse
+                    .put(&workspace.name, granted - units, clock::now());
                 Ok(mark)
             }
             Lease::Exhausted { retry_after_ms } => Err(retry_after_ms),
@@ -130,7 +135,9 @@
         let mut inner = self.lock();
         let nodes = self.nodes(&mut inner);
         let (name, quota) = (&workspace.name, &workspace.quota);
-        inner.bank.lease(name, quota, units, nodes, &bounds, clock::now())
+        inner
+            .bank
+            .lease(name, quota, units, nodes, &bounds, clock::now())
     }
 
     fn own_share(&self, workspace: &Workspace, units: f64) -> Lease {
@@ -138,7 +145,9 @@
         let mut inner = self.lock();
         let nodes = self.nodes(&mut inner);
         let (name, quota) = (&workspace.name, &workspace.quota);
-        inner.purse.own_share(name, quota, units, nodes, &bounds, clock::now())
+        inner
+            .purse
+            .own_share(name, quota, units, nodes, &bounds, clock::now())
     }
 
     async fn ask(
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,11 +28,12 @@
 use crate::channel::Channels;
 use crate::gateway::{Body, Gateway};
 use crate::limits::Limiter;
+use crate::news::Follower;
 use crate::owner::Owner;
 use crate::server::{Stop, accept, plain};
 use crate::shards::{Shards, cut};
 use crate::slots::Slots;
-use crate::{Bounds, GatewaySettings, Limits, Lookup, Protocol, Store, Views, follow};
+use crate::{Bounds, GatewaySettings, Limits, Lookup, Protocol, Store, Views, follow, news};
 
 /// Membership probes: a node that is gone must be out of lookups well within their lifetime.
 const HEARTBEAT: Duration = Duration::from_millis(400);
@@ -149,7 +150,13 @@
             protocol,
             zone: cfg.zone.clone(),
             views: views.clone(),
-            slots: Slots::new(instance, owner.clone(), directory.clone(), links, shards.clone()),
+            slots: Slots::new(
+                instance,
+                owner.clone(),
+                directory.clone(),
+                links.clone(),
+                shards.clone(),
+            ),
             channels: channels.clone(),
             directory: directory.clone(),
             limiter: limiter.clone(),
@@ -166,9 +173,31 @@
         });
         let store = Arc::new(store);
         let mut tasks = JoinSet::new();
-        tasks.spawn(follow::configuration(store.clone(), views.clone()));
-        tasks.spawn(follow::targets(store.clone(), views.clone(), timer.clone()));
-        tasks.spawn(follow::nodes(store, cfg.clone(), directory.clone(), timer.clone()));
+        let reads = watch::Sender::new(true);
+        let turn = || reads.subscribe();
+        tasks.spawn(follow::configuration(store.clone(), views.clone(), turn()));
+        tasks.spawn(follow::targets(
+            store.clone(),
+            views.clone(),
+            timer.clone(),
+            turn(),
+        ));
+        let follower = Follower {
+            own: cfg.instance(),
+            zone: cfg.zone.clone(),
+            store: store.clone(),
+            views: views.clone(),
+            directory: directory.clone(),
+            links,
+            reads,
+        };
+        tasks.spawn(follower.run());
+        tasks.spawn(follow::nodes(
+            store,
+            cfg.clone(),
+            directory.clone(),
+            timer.clone(),
+        ));
         tasks.spawn(apply_views(
             views.clone(),
             owner.clone(),
@@ -183,7 +212,13 @@
             limiter,
             views: views.clone(),
         });
-        tasks.spawn(rwd_peer::serve(peers, cfg.secret.clone(), bytes, LINK_KEEP_ALIVE, handler));
+        tasks.spawn(rwd_peer::serve(
+            peers,
+            cfg.secret.clone(),
+            bytes,
+            LINK_KEEP_ALIVE,
+            handler,
+        ));
         let (m, t) = (membership.clone(), timer.clone());
         tasks.spawn(async move { m.run(&t).await });
         let header_bytes = Limits::default().header_bytes;
@@ -196,7 +231,14 @@
         let status = move |req| front.clone().status(req);
         tasks.spawn(accept(readiness, header_bytes, stop.subscribe(), status));
         let reload = Arc::new(Notify::new());
-        tasks.spawn(upkeep(timer, channels, file, cfg.bounds.clone(), l, reload.clone()));
+        tasks.spawn(upkeep(
+            timer,
+            channels,
+            file,
+            cfg.bounds.clone(),
+            l,
+            reload.clone(),
+        ));
         let g = gateway.clone();
         let close = Arc::new(move || g.is_closed.store(true, Ordering::Relaxed));
         let in_progress = Arc::new(move || gateway.in_progress.load(Ordering::Relaxed));
@@ -271,7 +313,10 @@
         match self.gateway.protocol.read_lookup(&parts) {
             Some(lookup) => {
                 let addresses = self.addresses(&lookup);
-                let body = self.gateway.protocol.lookup_answer(&addresses, LOOKUP_LIFETIME);
+                let body = self
+                    .gateway
+                    .protocol
+                    .lookup_answer(&addresses, LOOKUP_LIFETIME);
                 plain(StatusCode::OK, "application/json", body)
             }
             None => plain(StatusCode::NOT_FOUND, "text/plain", Bytes::new()),
@@ -302,7 +347,11 @@
                 Ok(text) => plain(StatusCode::OK, "text/plain", Bytes::from(text)),
                 Err(e) => {
                     warn!(event = "metrics", error:% = e; "cannot write metrics");
-                    plain(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", Bytes::new())
+                    plain(
+                        StatusCode::INTERNAL_SERVER_ERROR,
+                        "text/plain",
+                        Bytes::new(),
+                    )
                 }
             },
             _ if !self.gateway.protocol.is_readiness(&parts) => {
@@ -332,6 +381,7 @@
                 ex.send_last(&Message::Unknown).await
             }
             Message::Place(offer) => self.owner.serve(*offer, ex).await,
+            Message::AskNews(known) => news::answer(&self.views, known, ex).await,
             Message::Demand { workspace, units } => {
                 ex.send_last(&self.limiter.answer(&workspace, units)).await
             }
@@ -362,7 +412,8 @@
                     owner.set_targets(&shard.name, Vec::new());
                 }
                 for (shard, targets) in cut {
-                    let infos = targets.iter().map(|(n, e)| e.info(n, pool)).collect();
+                    let infos = targets.iter().map(|(n, e)| pool.target_info(n, e));
+                    let infos = infos.collect();
                     owner.set_targets(&shard.name, infos);
                 }
             }
@@ -398,7 +449,9 @@
                 limiter.set_bounds(new.bounds.clone());
                 bounds = new.bounds;
             }
-            Err(e) => warn!(event = "reload", error:% = e; "settings cannot be read; the old ones stay in force"),
+            Err(e) => {
+                warn!(event = "reload", error:% = e; "settings cannot be read; the old ones stay in force")
+            }
         }
     }
 }
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -3,7 +3,9 @@
 use indexmap::IndexMap;
 use log::info;
 use rwd_peer::Exchange;
-use rwd_placement::{Decision, Offer, OfferId, Outcome, PlacementSettings, Refusal, Scheduler, TargetInfo};
+use rwd_placement::{
+    Decision, Offer, OfferId, Outcome, PlacementSettings, Refusal, Scheduler, TargetInfo,
+};
 use rwd_types::PoolName;
 use rwd_wire::{Message, Placed};
 use std::sync::{Arc, Mutex, MutexGuard};
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -107,7 +107,9 @@
         let headers = response.headers_mut();
         let json = HeaderValue::from_static("application/problem+json");
         headers.insert(header::CONTENT_TYPE, json);
-        let retry_after = self.retry_after_ms().map(|ms| format!("{:.3}", ms / 1000.0));
+        let retry_after = self
+            .retry_after_ms()
+            .map(|ms| format!("{:.3}", ms / 1000.0));
         if let Some(Ok(value)) = retry_after.map(HeaderValue::try_from) {
             headers.insert(header::RETRY_AFTER, value);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -214,7 +214,10 @@
 
     fn tokens_per_event(&self) -> u32 {
         let a = &self.run.admitted;
-        a.catalog.pools.get(&a.pool).map_or(1, |p| p.tokens_per_event)
+        a.catalog
+            .pools
+            .get(&a.pool)
+            .map_or(1, |p| p.tokens_per_event)
     }
 }
 
@@ -230,6 +233,8 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        self.rx.poll_recv(cx).map(|item| item.map(|r| r.map(Frame::data)))
+        self.rx
+            .poll_recv(cx)
+            .map(|item| item.map(|r| r.map(Frame::data)))
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -109,7 +109,11 @@
             match attempt {
                 Attempt::Whole(parts, body) => {
                     let failed = parts.status.is_server_error();
-                    let outcome = if failed { Outcome::Failed } else { self.complete(&slot) };
+                    let outcome = if failed {
+                        Outcome::Failed
+                    } else {
+                        self.complete(&slot)
+                    };
                     self.exclude.push(slot.slot.target.clone());
                     slot.slot.release(outcome);
                     if failed && self.may_send_again() {
@@ -303,7 +307,10 @@
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.parts.method.clone();
         *req.uri_mut() = origin_form(&self.parts.uri);
-        *req.headers_mut() = self.gateway.protocol.target_headers(&self.parts.headers, &head);
+        *req.headers_mut() = self
+            .gateway
+            .protocol
+            .target_headers(&self.parts.headers, &head);
         req
     }
 
@@ -389,7 +396,11 @@
             Attempt::NotRun { misdirected } => {
                 self.arrivals += 1;
                 self.refusals += 1;
-                let outcome = if *misdirected { Outcome::Gone } else { Outcome::Full };
+                let outcome = if *misdirected {
+                    Outcome::Gone
+                } else {
+                    Outcome::Full
+                };
                 (outcome, Refusal::NotRun, "not_run")
             }
             Attempt::Silent => {
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -5,12 +5,11 @@
 
 use indexmap::IndexMap;
 use rand::seq::SliceRandom;
+use rwd_placement::TargetEntry;
 use rwd_types::{PoolName, TargetName, ZoneName};
 use std::sync::{Mutex, MutexGuard};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::TargetEntry;
-
 /// Targets up to which a pool is one shard: one node can schedule that many.
 const WHOLE_POOL: usize = 40;
 /// Most targets of a shard of a larger pool.
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -1,8 +1,8 @@
 //! How a request gets a slot: from the node that schedules its pool, or from this one.
 
+use futures_util::future::select_all;
 use indexmap::IndexMap;
 use log::info;
-use futures_util::future::select_all;
 use rwd_peer::{Directory, Error, Exchange, Links, rank};
 use rwd_placement::{Moment, Offer, Outcome};
 use rwd_types::{InstanceName, TargetName};
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -2,28 +2,36 @@
 
 use indexmap::IndexMap;
 use log::{info, warn};
-use rwd_placement::Moment;
+use rwd_placement::{Moment, TargetEntry};
 use rwd_types::{PoolName, TargetName};
+use rwd_wire::{Known, News};
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::watch;
 
-use crate::{Catalog, Record, TargetEntry, clock};
+use crate::{Catalog, Record, clock};
 
 /// How long an entry that the store dropped during an outage may take to return, in milliseconds.
 const RETURN_GRACE_MS: f64 = 1500.0;
+/// Removed entries that are remembered for nodes that follow this one.
+const MAX_REMOVED: usize = 512;
 
 #[derive(Default)]
 struct Inner {
     catalog: Option<Arc<Catalog>>,
     catalog_as_of: Option<Moment>,
     targets: IndexMap<TargetName, TargetEntry>,
-    // Entries that went missing during an outage, and when they count as gone.
-    missing: IndexMap<TargetName, Moment>,
     targets_as_of: Option<Moment>,
+    // Entries that went missing, and when they count as gone.
+    missing: IndexMap<TargetName, Moment>,
+    // The number of the last change of each target, removed ones among them.
+    changes: IndexMap<TargetName, u64>,
+    change: u64,
 }
 
 /// The shared record of what the store says; versions only go forward.
 pub struct Views {
+    // Tells the changes of this process from those of an earlier one.
+    epoch: u64,
     inner: Mutex<Inner>,
     changed: watch::Sender<u64>,
 }
@@ -31,6 +39,7 @@
 impl Default for Views {
     fn default() -> Self {
         Self {
+            epoch: rand::random(),
             inner: Mutex::default(),
             changed: watch::Sender::new(0),
         }
@@ -58,8 +67,12 @@
 
     /// Milliseconds since the configuration was known to be the newest.
     pub fn catalog_age_ms(&self) -> f64 {
-        let as_of = self.lock().catalog_as_of;
-        as_of.map_or(f64::INFINITY, |t| clock::now() - t)
+        age_ms(self.lock().catalog_as_of)
+    }
+
+    /// Milliseconds since the list of targets was known to be the newest.
+    pub fn targets_age_ms(&self) -> f64 {
+        age_ms(self.lock().targets_as_of)
     }
 
     /// Whether the node knows enough to serve.
@@ -84,61 +97,45 @@
     /// Records that the configuration was the newest at `as_of`.
     pub fn confirm_catalog(&self, as_of: Moment) {
         let mut inner = self.lock();
-        if inner.catalog_as_of.is_none_or(|t| t < as_of) {
-            inner.catalog_as_of = Some(as_of);
-        }
+        inner.catalog_as_of = later(inner.catalog_as_of, as_of);
+    }
+
+    /// Records that the list of targets was the newest at `as_of`.
+    pub fn confirm_targets(&self, as_of: Moment) {
+        let mut inner = self.lock();
+        inner.targets_as_of = later(inner.targets_as_of, as_of);
     }
 
     /// Takes in a whole list of targets; `after_outage` gives missing entries time to return.
     pub fn replace_targets(&self, records: Vec<Record>, after_outage: bool) {
         let now = clock::now();
         let mut inner = self.lock();
-        let mut listed = Vec::new();
-        for record in records {
-            match record {
-                Record::Target(name, Some(entry)) => {
-                    listed.push(name.clone());
-                    inner.put_target(name, entry);
-                }
-                Record::Unreadable { key, reason } => {
-                    warn!(event = "registry", key:%, reason:%; "unreadable entry");
-                }
-                _ => (),
-            }
-        }
-        let grace = if after_outage { RETURN_GRACE_MS } else { 0.0 };
-        let absent: Vec<_> = inner
-            .targets
-            .keys()
-            .filter(|name| !listed.contains(name))
-            .cloned()
-            .collect();
+        let named = records.iter().filter_map(|r| match r {
+            Record::Target(name, Some(_)) => Some(name.clone()),
+            _ => None,
+        });
+        let listed: Vec<_> = named.collect();
+        inner.take_in(records, now, grace(after_outage));
+        let absent = inner.targets.keys().filter(|name| !listed.contains(name));
+        let absent: Vec<_> = absent.cloned().collect();
         for name in absent {
-            inner.missing.entry(name).or_insert(now + grace);
+            inner
+                .missing
+                .entry(name)
+                .or_insert(now + grace(after_outage));
         }
-        inner.expire(now);
+        let changed = inner.expire(now);
         drop(inner);
-        self.notify();
+        if changed || !listed.is_empty() {
+            self.notify();
+        }
     }
 
     /// Takes in changes of the targets.
     pub fn apply_targets(&self, records: Vec<Record>, after_outage: bool) {
         let now = clock::now();
-        let mut changed = false;
         let mut inner = self.lock();
-        for record in records {
-            match record {
-                Record::Target(name, Some(entry)) => changed |= inner.put_target(name, entry),
-                Record::Target(name, None) => {
-                    let grace = if after_outage { RETURN_GRACE_MS } else { 0.0 };
-                    inner.missing.entry(name).or_insert(now + grace);
-                }
-                Record::Unreadable { key, reason } => {
-                    warn!(event = "registry", key:%, reason:%; "unreadable entry");
-                }
-                _ => (),
-            }
-        }
+        let mut changed = inner.take_in(records, now, grace(after_outage));
         changed |= inner.expire(now);
         drop(inner);
         if changed {
@@ -146,20 +143,6 @@
         }
     }
 
-    /// Records that the list of targets was the newest at `as_of`.
-    pub fn confirm_targets(&self, as_of: Moment) {
-        let mut inner = self.lock();
-        if inner.targets_as_of.is_none_or(|t| t < as_of) {
-            inner.targets_as_of = Some(as_of);
-        }
-    }
-
-    /// Milliseconds since the list of targets was known to be the newest.
-    pub fn targets_age_ms(&self) -> f64 {
-        let as_of = self.lock().targets_as_of;
-        as_of.map_or(f64::INFINITY, |t| clock::now() - t)
-    }
-
     /// Whether a target may get work, as far as this node knows.
     pub fn is_staying(&self, target: &TargetName) -> bool {
         let inner = self.lock();
@@ -173,42 +156,108 @@
         let of_pool = inner.targets.iter().filter(|(_, e)| e.pool == *pool);
         of_pool.map(|(n, e)| (n.clone(), e.clone())).collect()
     }
+
+    /// Whether this node knows something that a follower with `known` lacks.
+    pub fn has_news(&self, known: &Known) -> bool {
+        let inner = self.lock();
+        let version = inner.catalog.as_ref().map(|c| c.version);
+        version > known.catalog || known.epoch != self.epoch || known.change < inner.change
+    }
+
+    /// What a follower with `known` lacks, and how old that is.
+    pub fn news(&self, known: &Known) -> News {
+        let inner = self.lock();
+        let catalog = inner.catalog.as_ref();
+        let newer = catalog.filter(|c| Some(c.version) > known.catalog);
+        let whole = known.epoch != self.epoch;
+        let since = if whole { 0 } else { known.change };
+        let changed = inner.changes.iter().filter(|(_, n)| **n > since);
+        let targets = changed.map(|(name, _)| (name.clone(), inner.targets.get(name).cloned()));
+        let targets = targets.filter(|(_, entry)| !whole || entry.is_some());
+        let age = |as_of: Option<Moment>| as_of.map(|t| clock::now() - t);
+        News {
+            catalog: newer.map(|c| c.source.to_vec()),
+            catalog_age_ms: age(inner.catalog_as_of),
+            whole,
+            targets: targets.collect(),
+            targets_age_ms: age(inner.targets_as_of),
+            epoch: self.epoch,
+            change: inner.change,
+        }
+    }
+}
+
+fn age_ms(as_of: Option<Moment>) -> f64 {
+    as_of.map_or(f64::INFINITY, |t| clock::now() - t)
+}
+
+fn later(known: Option<Moment>, as_of: Moment) -> Option<Moment> {
+    match known {
+        Some(t) if t >= as_of => Some(t),
+        _ => Some(as_of),
+    }
+}
+
+fn grace(after_outage: bool) -> f64 {
+    if after_outage { RETURN_GRACE_MS } else { 0.0 }
 }
 
 impl Inner {
+    fn take_in(&mut self, records: Vec<Record>, now: Moment, grace_ms: f64) -> bool {
+        let mut changed = false;
+        for record in records {
+            match record {
+                Record::Target(name, Some(entry)) => changed |= self.put_target(name, entry),
+                Record::Target(name, None) => {
+                    self.missing.entry(name).or_insert(now + grace_ms);
+                }
+                Record::Unreadable { key, reason } => {
+                    warn!(event = "registry", key:%, reason:%; "unreadable entry");
+                }
+                _ => (),
+            }
+        }
+        changed
+    }
+
     // Whether anything but the sequence changed.
     fn put_target(&mut self, name: TargetName, entry: TargetEntry) -> bool {
         self.missing.swap_remove(&name);
-        match self.targets.get_mut(&name) {
-            Some(old) if !entry.replaces(old) => false,
-            Some(old) => {
-                let same = TargetEntry {
-                    sequence: entry.sequence,
-                    ..old.clone()
-                } == entry;
-                if !same {
-                    info!(event = "registry", target:% = name, leaving = entry.leaving; "target changed");
-                }
-                *old = entry;
-                !same
-            }
-            None => {
-                info!(event = "registry", target:% = name, address:% = entry.address, pool:% = entry.pool; "target added");
-                self.targets.insert(name, entry);
-                true
-            }
+        let old = self.targets.get(&name);
+        if old.is_some_and(|old| !entry.replaces(old)) {
+            return false;
+        }
+        let changed = old.is_none_or(|old| entry.differs(old));
+        if changed {
+            info!(event = "registry", target:% = name, address:% = entry.address, pool:% = entry.pool, leaving = entry.leaving; "target listed");
+            self.note_change(&name);
+        }
+        self.targets.insert(name, entry);
+        changed
+    }
+
+    fn note_change(&mut self, name: &TargetName) {
+        self.change += 1;
+        self.changes.shift_remove(name);
+        self.changes.insert(name.clone(), self.change);
+        let (changes, targets) = (&mut self.changes, &self.targets);
+        if changes.len() > targets.len() + MAX_REMOVED {
+            changes.retain(|name, _| targets.contains_key(name));
         }
     }
 
     fn expire(&mut self, now: Moment) -> bool {
         let due = self.missing.iter().filter(|(_, at)| **at <= now);
         let due: Vec<_> = due.map(|(n, _)| n.clone()).collect();
+        let mut changed = false;
         for name in &due {
             self.missing.swap_remove(name);
             if self.targets.shift_remove(name).is_some() {
                 info!(event = "registry", target:% = name; "target removed");
+                self.note_change(name);
+                changed = true;
             }
         }
-        !due.is_empty()
+        changed
     }
 }
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -5,8 +5,8 @@
     Workspace,
 };
 use rwd_control::{Edit, PublishId, Published};
-use rwd_node::{Node, NodeEdges};
 use rwd_edge::{Instance, InstanceRole, InstanceState};
+use rwd_node::{Node, NodeEdges};
 use rwd_types::{Incarnation, Millis, PresetName, Secret, TierRank, TokenRate, Tokens};
 use rwd_wire::MemberUpdate;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/lab/tests/contracts/main.rs
+++ b/crates/lab/tests/contracts/main.rs
@@ -1,14 +1,14 @@
 //! Each edge against its stand-in: what the protocol promises, and each fault it may show.
 
 use bytes::Bytes;
-use rwd_lab::stand_in::{
-    Engine, EngineSettings, FaultSettings, InstanceStandIn, Ledger, LogStandIn, ServiceSettings,
-    ServiceStandIn,
-};
 use rwd_edge::{
     Answer, Call, Error, HttpInstanceList, HttpLog, HttpTargets, Instance, InstanceList,
     InstanceRole, InstanceState, Log, SseParser, Targets,
 };
+use rwd_lab::stand_in::{
+    Engine, EngineSettings, FaultSettings, InstanceStandIn, Ledger, LogStandIn, ServiceSettings,
+    ServiceStandIn,
+};
 use rwd_types::LogOffset;
 use serde_json::json;
 use std::net::SocketAddr;
--- a/crates/lab/tests/failures/helper.rs
+++ b/crates/lab/tests/failures/helper.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{BodyExt, Full};
+use rwd_edge::HttpClient;
 use rwd_lab::{
     Caller, Cluster, ClusterSettings, RequestRecord, RequestSpec, Shape, Workload, WorkloadName,
 };
-use rwd_edge::HttpClient;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,12 +3,12 @@
 use indexmap::IndexSet;
 use rwd_config::Settings;
 use rwd_control::{Control, ControlSettings};
+use rwd_edge::{HttpInstanceList, HttpLog, HttpTargets, InstanceList, Log, Targets};
 use rwd_entry::{Api, EntryParts, EntrySettings, Home, KeyTableSettings};
 use rwd_metrics::Metrics;
 use rwd_peer::{
     ByteCounter, Directory, KeepAlive, LinkSettings, Links, Membership, MembershipSettings, serve,
 };
-use rwd_edge::{HttpInstanceList, HttpLog, HttpTargets, InstanceList, Log, Targets};
 use rwd_sched::{Baseline, Scheduler, SchedulerSettings, Topology};
 use rwd_timer::Timer;
 use rwd_types::{Incarnation, Millis, Revision, TargetName};
--- a/crates/node/src/platform_tasks.rs
+++ b/crates/node/src/platform_tasks.rs
@@ -3,8 +3,8 @@
 use indexmap::{IndexMap, IndexSet};
 use log::warn;
 use rwd_config::Policy;
-use rwd_peer::ListedInstance;
 use rwd_edge::{Instance, InstanceRole, InstanceState};
+use rwd_peer::ListedInstance;
 use rwd_sched::Topology;
 use rwd_types::TargetName;
 use std::sync::Arc;
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -296,7 +296,11 @@
         out
     }
 
-    fn refuse_hopeless(&mut self, cfg: &PlacementSettings, now: Moment) -> Vec<(OfferId, Decision)> {
+    fn refuse_hopeless(
+        &mut self,
+        cfg: &PlacementSettings,
+        now: Moment,
+    ) -> Vec<(OfferId, Decision)> {
         let live = self.targets.values().filter(|t| !t.info.leaving).count();
         let mut out = Vec::new();
         let mut index = 0;
--- a/crates/sched/src/scheduler.rs
+++ b/crates/sched/src/scheduler.rs
@@ -3,8 +3,8 @@
 use indexmap::{IndexMap, IndexSet};
 use log::info;
 use rwd_config::Configuration;
-use rwd_metrics::{Metrics, label};
 use rwd_edge::CacheEvents;
+use rwd_metrics::{Metrics, label};
 use rwd_types::{InstanceName, Millis, PoolName, Problem, ProblemKind, TargetName, TierRank};
 use rwd_wire::{Adopted, Digest, Finish, Grant, GrantId, Offer, ShardId};
 use serde::Serialize;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -208,6 +208,36 @@
     pub headers: Vec<(CompactString, CompactString)>,
 }
 
+/// What a node knows of the store already.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Known {
+    /// The version of the configuration.
+    pub catalog: Option<u64>,
+    /// The life of the node whose changes it has followed.
+    pub epoch: u64,
+    /// The last change of the targets that it has from that node.
+    pub change: u64,
+}
+
+/// What a node that reads the store passes on.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct News {
+    /// The newest configuration record, if the receiver lacks it.
+    pub catalog: Option<Vec<u8>>,
+    /// Milliseconds since the configuration was known to be the newest; none if it never was.
+    pub catalog_age_ms: Option<f64>,
+    /// Whether `targets` is the whole list.
+    pub whole: bool,
+    /// Changed entries; none for a target that was removed.
+    pub targets: Vec<(TargetName, Option<rwd_placement::TargetEntry>)>,
+    /// Milliseconds since the list of targets was known to be the newest; none if it never was.
+    pub targets_age_ms: Option<f64>,
+    /// The life of the sender.
+    pub epoch: u64,
+    /// The last change of the targets.
+    pub change: u64,
+}
+
 /// A slot that a scheduler found for an offer.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Placed {
@@ -334,4 +364,9 @@
     },
     /// The receiver does not know what was asked for.
     Unknown,
+    /// Asks for what the receiver knows of the store; answered at once if that is newer than what
+    /// the sender has, otherwise after a while.
+    AskNews(Known),
+    /// What the sender knows of the store beyond what was asked with.
+    News(Box<News>),
 }
