--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
+use crate::limits::Limiter;
 use crate::settings::instance_at;
 use crate::{Feed, GatewaySettings, Record, Store, StoreError, Views, clock};
 
@@ -216,20 +217,23 @@
     store: Arc<S>,
     cfg: GatewaySettings,
     directory: Arc<Directory>,
+    limiter: Arc<Limiter>,
     timer: Timer,
 ) {
     let mut announced = false;
+    let mut listed = false;
     let mut ticks = timer.every(NODES_PERIOD);
     learn(&cfg, &directory, &cfg.seeds);
     loop {
         if !announced {
+            // Before the list is read, so that nodes that start together see one another.
             match store.announce(cfg.listen.peers, true, CALL_LIMIT).await {
                 Ok(()) => announced = true,
                 Err(e) => warn!(event = "announce", error:% = e; "cannot announce this node"),
             }
         }
         let alone = directory.view().members.len() < 2;
-        if alone || !announced {
+        if alone || !listed {
             match store.newest(Feed::Nodes, CALL_LIMIT).await {
                 Ok(batch) => {
                     let peers = batch.records.into_iter().filter_map(|r| match r {
@@ -238,6 +242,13 @@
                     });
                     let mut peers: Vec<_> = peers.collect();
                     peers.extend(&cfg.seeds);
+                    peers.push(cfg.listen.peers);
+                    peers.sort();
+                    peers.dedup();
+                    if !listed {
+                        limiter.set_listed(peers.len());
+                    }
+                    listed = true;
                     learn(&cfg, &directory, &peers);
                 }
                 Err(StoreError::Gone) => (),
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -72,6 +72,11 @@
         inner.shares.count(view.members.keys(), clock::now())
     }
 
+    /// Takes in how many nodes the store lists.
+    pub fn set_listed(&self, count: usize) {
+        self.lock().shares.set_listed(count, clock::now());
+    }
+
     /// Opens the buckets of a configuration's workspaces.
     pub fn open(&self, catalog: &Catalog) {
         let mut inner = self.lock();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -198,6 +198,7 @@
             store,
             cfg.clone(),
             directory.clone(),
+            limiter.clone(),
             timer.clone(),
         ));
         tasks.spawn(apply_views(
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -34,10 +34,27 @@
 /// Longest time after which a refused caller is told to come back, in milliseconds.
 const MAX_RETRY_AFTER_MS: f64 = 10_000.0;
 
+/// Nodes that are assumed until a starting node has learned how many there are: the size that the
+/// system is designed for.
+const UNKNOWN_NODES: usize = 390;
+
 /// Counts the nodes that shares are made for.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Shares {
     seen: IndexMap<InstanceName, Moment>,
+    // A node that has just started sees few others, and may not take their shares for that.
+    floor: usize,
+    floor_until: Option<Moment>,
+}
+
+impl Default for Shares {
+    fn default() -> Self {
+        Self {
+            seen: IndexMap::new(),
+            floor: UNKNOWN_NODES,
+            floor_until: None,
+        }
+    }
 }
 
 /// The nodes that are alive, and all that may be serving somewhere.
@@ -74,11 +91,21 @@
             self.seen.insert(name.clone(), now);
         }
         self.seen.retain(|_, at| now - *at < SHARE_RETENTION_MS);
+        if self.floor_until.is_some_and(|until| now >= until) {
+            self.floor = 1;
+        }
         Nodes {
             alive: count.max(1),
-            all: self.seen.len().max(1),
+            all: self.seen.len().max(self.floor),
         }
     }
+
+    /// Takes in how many nodes the store lists; from then on what this node sees itself comes to
+    /// count more and more.
+    pub fn set_listed(&mut self, count: usize, now: Moment) {
+        self.floor = count.max(1);
+        self.floor_until = Some(now + SHARE_RETENTION_MS);
+    }
 }
 
 /// A bucket of quota units that fills with time.
--- /dev/null
+++ b/crates/gateway/tests/limits.rs
@@ -0,0 +1,191 @@
+//! Quotas and repeats: what all nodes together may grant in any window.
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rwd_gateway::{Bank, Bounds, Lease, Mark, Nodes, Purse, Quota, RepeatBudget, Shares};
+use rwd_placement::Moment;
+use rwd_types::{PoolName, WorkspaceName};
+
+const WINDOW_MS: f64 = 8000.0;
+
+fn quota() -> Quota {
+    Quota {
+        per_s: 36_000.0,
+        burst: 36_000.0,
+        in_tokens: true,
+        plain_tokens: 200.0,
+    }
+}
+
+fn bounds() -> Bounds {
+    Bounds {
+        quota_excess: 0.1,
+        quota_slack: 140_000.0,
+        ..Bounds::default()
+    }
+}
+
+/// The operators' bound for one window.
+fn most() -> f64 {
+    (36_000.0 * 8.0 + 36_000.0) * 1.1 + 140_000.0
+}
+
+fn workspace() -> WorkspaceName {
+    "w".parse().unwrap()
+}
+
+const ALL: Nodes = Nodes { alive: 6, all: 6 };
+
+// The most that was granted in any window.
+fn worst_window(grants: &[(f64, f64)]) -> f64 {
+    let from = |start: f64| {
+        let within = grants
+            .iter()
+            .filter(|(t, _)| *t >= start && *t < start + WINDOW_MS);
+        within.map(|(_, units)| units).sum::<f64>()
+    };
+    grants.iter().map(|(t, _)| from(*t)).fold(0.0, f64::max)
+}
+
+/// Pattern: one workspace sends many times its quota, its banker is lost every few seconds, and
+/// two nodes that reach no banker use their own shares.
+fn check(demands: Vec<(u16, u32)>) -> Result<(), TestCaseError> {
+    let (quota, bounds) = (quota(), bounds());
+    let mut bank = Bank::default();
+    let mut alone = [Purse::default(), Purse::default()];
+    let mut grants = Vec::new();
+    let mut now = 0.0;
+    for (n, (pause, units)) in demands.into_iter().enumerate() {
+        now += f64::from(pause);
+        let at = Moment(now);
+        let units = f64::from(units);
+        if n % 97 == 96 {
+            bank = Bank::default();
+        }
+        let lease = match n % 10 {
+            0 => alone[0].own_share(&workspace(), &quota, units, ALL, &bounds, at),
+            1 => alone[1].own_share(&workspace(), &quota, units, ALL, &bounds, at),
+            _ => bank.lease(&workspace(), &quota, units, ALL, &bounds, at),
+        };
+        if let Lease::Granted { units, .. } = lease {
+            grants.push((now, units));
+        }
+    }
+    let worst = worst_window(&grants);
+    // One request may be larger than what is left of a share.
+    prop_assert!(worst <= most() + 10_000.0, "{worst} of {}", most());
+    Ok(())
+}
+
+#[test]
+fn no_window_grants_more_than_the_bound() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let cfg = Config {
+        cases: 100,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let demands = proptest::collection::vec((0..40_u16, 200..9_000_u32), 200..1500);
+    let mut runner = TestRunner::new_with_rng(cfg, rng);
+    runner.run(&demands, check).unwrap();
+}
+
+/// Pattern: a workspace within its quota, in bursts.
+#[test]
+fn what_is_within_the_quota_is_granted_and_marked_so() {
+    let mut bank = Bank::default();
+    bank.open(&workspace(), Moment(0.0));
+    for second in 2..40 {
+        for n in 0..6 {
+            let now = Moment(f64::from(second) * 1000.0 + f64::from(n));
+            let lease = bank.lease(&workspace(), &quota(), 5_500.0, ALL, &bounds(), now);
+            let within = matches!(
+                lease,
+                Lease::Granted {
+                    mark: Mark::Within,
+                    ..
+                }
+            );
+            assert!(within, "second {second}: {lease:?}");
+        }
+    }
+}
+
+#[test]
+fn a_new_banker_starts_empty() {
+    let mut bank = Bank::default();
+    let lease = bank.lease(&workspace(), &quota(), 1.0, ALL, &bounds(), Moment(0.0));
+    assert!(matches!(lease, Lease::Exhausted { .. }), "{lease:?}");
+}
+
+/// Pattern: the system is cut in two; each part sees the other as gone.
+#[test]
+fn parts_of_a_cut_system_share_the_rate() {
+    let mut shares = Shares::default();
+    let names: Vec<_> = (0..6).map(|n| format!("n{n}").parse().unwrap()).collect();
+    shares.set_listed(6, Moment(0.0));
+    assert_eq!(shares.count(names.iter(), Moment(0.0)), ALL);
+    let cut = shares.count(names[..2].iter(), Moment(3000.0));
+    assert_eq!(cut, Nodes { alive: 2, all: 6 });
+    let later = shares.count(names[..2].iter(), Moment(60_000.0));
+    assert_eq!(later, Nodes { alive: 2, all: 2 });
+}
+
+/// Pattern: all nodes of a system restart at once, and each sees only itself for a moment.
+#[test]
+fn a_node_that_has_just_started_does_not_take_the_shares_of_all() {
+    let mut shares = Shares::default();
+    let own = ["n1".parse().unwrap()];
+    let unknown = shares.count(own.iter(), Moment(0.0));
+    assert!(unknown.visible_share() < 0.01, "{unknown:?}");
+    shares.set_listed(84, Moment(100.0));
+    let listed = shares.count(own.iter(), Moment(200.0));
+    assert_eq!(listed, Nodes { alive: 1, all: 84 });
+    let settled = shares.count(own.iter(), Moment(60_000.0));
+    assert_eq!(settled, Nodes { alive: 1, all: 1 });
+}
+
+/// Pattern: refused callers of one workspace are told different times.
+#[test]
+fn refused_callers_come_back_when_their_units_are_there() {
+    let mut bank = Bank::default();
+    let mut times = Vec::new();
+    for _ in 0..5 {
+        let lease = bank.lease(&workspace(), &quota(), 3_600.0, ALL, &bounds(), Moment(0.0));
+        match lease {
+            Lease::Exhausted { retry_after_ms } => times.push(retry_after_ms.round()),
+            Lease::Granted { .. } => panic!("nothing was there to grant"),
+        }
+    }
+    assert_eq!(times, [100.0, 200.0, 300.0, 400.0, 500.0]);
+}
+
+#[test]
+fn leased_units_lapse() {
+    let mut purse = Purse::default();
+    purse.put(&workspace(), 100.0, Moment(0.0));
+    assert!(purse.take(&workspace(), 60.0, Moment(10.0)));
+    assert!(!purse.take(&workspace(), 60.0, Moment(10.0)));
+    assert!(!purse.take(&workspace(), 10.0, Moment(10_000.0)));
+}
+
+/// Pattern: every request of a pool fails; six nodes repeat as often as they may.
+#[test]
+fn repeats_stay_within_the_budget_of_all_nodes() {
+    let pool: PoolName = "p".parse().unwrap();
+    let bounds = bounds();
+    let mut nodes: Vec<_> = (0..6).map(|_| RepeatBudget::default()).collect();
+    let (mut requests, mut repeats) = (0, 0);
+    for ms in 0..9_000 {
+        let now = Moment(f64::from(ms));
+        let node = &mut nodes[ms as usize % 6];
+        if ms % 7 == 0 {
+            node.request(&pool, &bounds, now);
+            requests += 1;
+        }
+        repeats += u32::from(node.repeat(&pool, ALL, &bounds, now));
+    }
+    let most = bounds.repeat_ratio * f64::from(requests) + bounds.repeat_slack;
+    assert!(f64::from(repeats) <= most, "{repeats} of {most}");
+    assert!(repeats > 0);
+}
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -327,16 +327,18 @@
         out
     }
 
-    // Refused callers come back one after the other, not all at once.
+    // Refused callers come back one after the other, not all at once; where more are refused than
+    // fit into the time that a caller has, the order begins anew.
     fn return_time(&mut self, offer: &Offer, waited_ms: f64, now: Moment) -> f64 {
-        let soonest = now + MIN_RETRY_AFTER_MS;
-        let at = match self.next_return > soonest {
-            true => self.next_return,
-            false => soonest,
-        };
-        self.next_return = at + RETURN_SPACING_MS;
         let left = (offer.time_left_ms - waited_ms).max(0.0);
-        (at - now).min(left * MAX_RETURN_SHARE)
+        let window = left * MAX_RETURN_SHARE - MIN_RETRY_AFTER_MS;
+        if window <= 0.0 {
+            return left * MAX_RETURN_SHARE;
+        }
+        let soonest = now + MIN_RETRY_AFTER_MS;
+        let behind = (self.next_return - soonest).max(0.0);
+        self.next_return = soonest + behind + RETURN_SPACING_MS;
+        MIN_RETRY_AFTER_MS + behind % window
     }
 }
 
--- /dev/null
+++ b/crates/placement/tests/placement/main.rs
@@ -0,0 +1,6 @@
+//! Placement under named patterns of load, without a network.
+
+mod choice;
+mod helper;
+mod overload;
+mod properties;
--- /dev/null
+++ b/crates/placement/tests/placement/overload.rs
@@ -0,0 +1,175 @@
+//! More work than slots: who waits, who is refused, who comes back when.
+
+use crate::helper::{at, complete, grants, offer, pool, scheduler, target};
+use rwd_placement::{Decision, Offer, OfferId, Outcome, Refusal};
+
+fn refusals(decisions: &[(OfferId, Decision)]) -> Vec<(OfferId, f64)> {
+    let refused = decisions.iter().filter_map(|(id, d)| match d {
+        Decision::Refuse { retry_after_ms, .. } => Some((*id, *retry_after_ms)),
+        Decision::Grant { .. } => None,
+    });
+    refused.collect()
+}
+
+/// Pattern: a burst of all kinds at once meets one free slot after another.
+#[test]
+fn a_burst_is_served_by_value_and_then_by_urgency() {
+    let mut s = scheduler(vec![target("a", 1)]);
+    let running = s.offer(offer(0), at(0.0));
+    s.poll(at(0.0));
+    let low = s.offer(offer(2), at(1.0));
+    let late_aim = s.offer(offer(0), at(1.0));
+    let urgent = Offer {
+        aim_left_ms: 500.0,
+        ..offer(0)
+    };
+    let urgent = s.offer(urgent, at(1.0));
+    let middle = s.offer(offer(1), at(1.0));
+    let mut order = Vec::new();
+    let mut last = running;
+    for n in 0..4 {
+        s.finish(last, complete(30.0, 0.0, 0), at(2.0 + n as f64));
+        let served = grants(&s.poll(at(2.0 + n as f64)));
+        assert_eq!(served.len(), 1);
+        last = served[0];
+        order.push(last);
+    }
+    assert_eq!(order, [urgent, late_aim, middle, low]);
+}
+
+/// Pattern: a sustained overload; work whose aim has passed must not take the slots of work that
+/// can still be on time, or everything is late.
+#[test]
+fn what_can_be_on_time_goes_before_what_is_late() {
+    let mut s = scheduler(vec![target("a", 1)]);
+    let running = s.offer(offer(0), at(0.0));
+    s.poll(at(0.0));
+    let late = Offer {
+        aim_left_ms: -1.0,
+        ..offer(0)
+    };
+    let late = s.offer(late, at(1.0));
+    let hopeless = Offer {
+        // Its prompt alone takes longer than the aim that is left.
+        prompt: 50_000,
+        aim_left_ms: 100.0,
+        ..offer(0)
+    };
+    let hopeless = s.offer(hopeless, at(1.0));
+    let on_time = s.offer(offer(2), at(1.0));
+    s.finish(running, complete(30.0, 0.0, 0), at(2.0));
+    assert_eq!(grants(&s.poll(at(2.0))), [on_time]);
+    s.finish(on_time, complete(30.0, 0.0, 0), at(3.0));
+    let next = grants(&s.poll(at(3.0)));
+    assert!(next == [late] || next == [hopeless]);
+}
+
+/// Pattern: one workspace sends many times its quota; what is beyond it takes nobody's place.
+#[test]
+fn work_beyond_a_quota_leaves_room_and_waits_least() {
+    let mut s = scheduler(vec![target("a", 5)]);
+    let beyond = || Offer {
+        beyond_quota: true,
+        ..offer(0)
+    };
+    for _ in 0..10 {
+        s.offer(beyond(), at(0.0));
+    }
+    let taken = grants(&s.poll(at(0.0))).len();
+    assert!(taken < 5, "all {taken} slots went to work beyond the quota");
+    let within = s.offer(offer(2), at(1.0));
+    assert_eq!(grants(&s.poll(at(1.0))), [within]);
+    let refused = refusals(&s.poll(at(200.0)));
+    assert_eq!(refused.len(), 10 - taken);
+}
+
+/// Pattern: a pool is full for long; callers are told to come back one after the other.
+#[test]
+fn refused_callers_do_not_all_come_back_at_once() {
+    let mut s = scheduler(vec![target("a", 1)]);
+    s.offer(offer(0), at(0.0));
+    s.poll(at(0.0));
+    for _ in 0..50 {
+        s.offer(offer(1), at(0.0));
+    }
+    let refused = refusals(&s.poll(at(4_000.0)));
+    assert_eq!(refused.len(), 50);
+    let mut times: Vec<_> = refused.iter().map(|(_, ms)| *ms).collect();
+    // A caller ignores what is beyond a third of the time that it has left.
+    assert!(times.iter().all(|ms| *ms <= 6_000.0 / 3.0), "{times:?}");
+    times.sort_by(f64::total_cmp);
+    times.dedup();
+    assert_eq!(times.len(), 50, "some come back together: {times:?}");
+}
+
+/// Pattern: slots are free; nobody is refused and nobody waits.
+#[test]
+fn nobody_is_refused_while_a_slot_is_free() {
+    let mut s = scheduler(vec![target("a", 4), target("b", 4)]);
+    for n in 0..8 {
+        s.offer(offer(n % 3), at(0.0));
+    }
+    let decisions = s.poll(at(0.0));
+    assert_eq!(grants(&decisions).len(), 8);
+    assert!(refusals(&decisions).is_empty());
+}
+
+/// Pattern: a stream broke in a burst; its caller waits in the middle of an answer.
+#[test]
+fn a_broken_stream_goes_on_before_new_work() {
+    let mut s = scheduler(vec![target("a", 1)]);
+    let running = s.offer(offer(0), at(0.0));
+    s.poll(at(0.0));
+    s.offer(offer(0), at(1.0));
+    let resumed = Offer {
+        resumes: true,
+        ..offer(2)
+    };
+    let resumed = s.offer(resumed, at(1.0));
+    s.finish(running, Outcome::Broken, at(2.0));
+    assert_eq!(grants(&s.poll(at(2.0))), [resumed]);
+}
+
+/// Pattern: every target of a pool has left.
+#[test]
+fn without_targets_the_refusal_says_so() {
+    let mut s = scheduler(Vec::new());
+    s.offer(offer(0), at(0.0));
+    assert!(s.poll(at(0.0)).is_empty());
+    let decisions = s.poll(at(5_000.0));
+    let [(_, Decision::Refuse { why, .. })] = &decisions[..] else {
+        panic!("one refusal was expected: {decisions:?}");
+    };
+    assert_eq!(*why, Refusal::NoTarget);
+    assert_eq!(s.waiting(&pool()), 0);
+}
+
+/// Pattern: a long overload with estimates that feed on themselves. The time that is expected to
+/// the first byte stays near what is measured.
+#[test]
+fn expected_times_do_not_run_away() {
+    let mut s = scheduler(vec![target("a", 7)]);
+    let mut running = Vec::new();
+    let mut expected = 0.0;
+    for n in 0..400 {
+        let now = at(f64::from(n) * 150.0);
+        s.offer(
+            Offer {
+                prompt: 6000,
+                ..offer(0)
+            },
+            now,
+        );
+        for (id, decision) in s.poll(now) {
+            if let Decision::Grant { first_ms, .. } = decision {
+                expected = first_ms;
+                running.push(id);
+            }
+        }
+        if running.len() == 7 {
+            // Each answer waited for one prompt before its own: 2 x 6000 tokens in 400 ms.
+            s.finish(running.remove(0), complete(400.0, 700.0, 100), now);
+        }
+    }
+    assert!(expected < 2.5 * 400.0, "{expected} ms are expected");
+}
