Half-open tries of targets that are down, shares of slots for cut-off nodes, silence alone ends nothing

A refused connection now counts at once, a target that is down gets one request at a time, and a scheduler of less than half of the nodes uses only their part of the slots. Another slot and the budget now come first, while the wait goes on; a target that has just answered others gets 2 s before that. Tests: a_target_that_is_down_costs_one_request_at_a_time, a_node_that_is_cut_off..., a_silent_stream_without_another_target_is_waited_for (red before).

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -72,6 +72,12 @@
         inner.shares.count(view.members.keys(), clock::now())
     }
 
+    /// Which part of the nodes this one can see.
+    pub fn visible_share(&self) -> f64 {
+        let mut inner = self.lock();
+        self.nodes(&mut inner).visible_share()
+    }
+
     /// Takes in how many nodes the store lists.
     pub fn set_listed(&self, count: usize) {
         self.lock().shares.set_listed(count, clock::now());
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -68,6 +68,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(900);
 /// Time between two looks at whether a stop may end.
 const STOP_POLL: Duration = Duration::from_millis(100);
+/// Time between two looks at how many nodes can be seen.
+const SHARE_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two looks at the settings file and at idle connections.
 const UPKEEP_PERIOD: Duration = Duration::from_secs(3);
 
@@ -209,6 +211,7 @@
             shards.clone(),
         ));
         tasks.spawn(owner.clone().run());
+        tasks.spawn(apply_share(timer.clone(), owner.clone(), limiter.clone()));
         let l = limiter.clone();
         let handler = Arc::new(PeerHandler {
             membership: membership.clone(),
@@ -462,6 +465,15 @@
     }
 }
 
+// Tells the scheduler when this node is cut off from most others.
+async fn apply_share(timer: Timer, owner: Arc<Owner>, limiter: Arc<Limiter>) {
+    let mut ticks = timer.every(SHARE_PERIOD);
+    loop {
+        ticks.tick().await;
+        owner.set_visible_share(limiter.visible_share());
+    }
+}
+
 async fn upkeep(
     timer: Timer,
     channels: Arc<Channels>,
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -94,6 +94,11 @@
         inner.pump();
     }
 
+    /// Sets which part of the nodes this one can see.
+    pub fn set_visible_share(&self, share: f64) {
+        self.lock().scheduler.set_visible_share(share);
+    }
+
     /// Makes an offer.
     pub fn offer(self: &Arc<Self>, offer: Offer) -> Ticket {
         let (tx, decision) = oneshot::channel();
@@ -171,11 +176,13 @@
             target,
             address,
             first_ms,
+            proven,
             ..
         } => Ok(Placed {
             target,
             address,
             first_ms,
+            proven,
         }),
         Decision::Refuse {
             why,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,6 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 
 use crate::channel::Channel;
 use crate::events::{Event, EventReader, Next};
@@ -179,14 +178,17 @@
                 Next::Broken => return Err((slot, Attempt::Broken)),
             }
             let patience = self.run.stream_patience();
+            let waited = self
+                .run
+                .wait_or_switch(reader.next(), patience, &slot.target);
             let waited = tokio::select! {
-                waited = timeout(patience, reader.next()) => waited,
+                waited = waited => waited,
                 () = self.tx.closed() => return Ok(Ended::CallerGone),
             };
             next = match waited {
-                Ok(next) => next,
-                Err(_) if self.run.is_over() => return Ok(Ended::TimeOut),
-                Err(_) => return Err((slot, Attempt::Silent)),
+                Some(next) => next,
+                None if self.run.is_over() => return Ok(Ended::TimeOut),
+                None => return Err((slot, Attempt::Silent)),
             };
             if self.run.is_over() {
                 return Ok(Ended::TimeOut);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-use crate::channel::{Channel, Sent};
+use crate::channel::{Channel, ConnectError, Sent};
 use crate::events::{EventReader, Next};
 use crate::gateway::{Admitted, Body, Gateway, InProgress};
 use crate::refusal::Refusal;
@@ -33,8 +33,10 @@
 const MAX_UNREACHABLE: u32 = 5;
 /// A target is silent when its first byte takes this many times longer than expected ...
 const SILENCE_FACTOR: f64 = 3.0;
-/// ... and at least this long, in milliseconds.
+/// ... and at least this long, in milliseconds, ...
 const MIN_SILENCE_MS: f64 = 700.0;
+/// ... or this long if it has just answered others.
+const PROVEN_SILENCE_MS: f64 = 2000.0;
 /// A target with a stream in progress is silent after this time, in milliseconds.
 const STREAM_SILENCE_MS: f64 = 1600.0;
 
@@ -45,6 +47,8 @@
     parts: request::Parts,
     body: Bytes,
     exclude: Vec<TargetName>,
+    // A slot, and a repeat of the budget, for a request whose target is silent.
+    prepared: Option<Slot>,
     // Sends after which the request may have run.
     sends: u32,
     // Sends that reached a target, whatever it said.
@@ -58,6 +62,8 @@
 pub(crate) enum Attempt {
     /// Nothing was sent.
     Unreachable,
+    /// Nothing was sent, because nobody listens there.
+    Down,
     /// Nothing was sent, because the target is leaving.
     Left,
     /// The target has not run the request.
@@ -86,6 +92,7 @@
             parts,
             body,
             exclude: Vec::new(),
+            prepared: None,
             sends: 0,
             arrivals: 0,
             refusals: 0,
@@ -189,20 +196,11 @@
             return Err(Refusal::Timeout);
         }
         let asked = clock::now();
-        let slot = self.gateway.slots.acquire(self.offer());
-        let limit = Duration::from_secs_f64(left_ms / 1000.0);
-        let slot = match timeout(limit, slot).await {
-            Ok(Ok(slot)) => slot,
-            Ok(Err(declined)) => {
-                info!(event = "declined", request:% = self.admitted.head.id, no_target = declined.no_target; "no slot");
-                let retry_after_ms = declined.retry_after_ms;
-                return Err(match self.admitted.beyond_quota {
-                    true => Refusal::OverQuota { retry_after_ms },
-                    false => Refusal::Overload { retry_after_ms },
-                });
-            }
-            Err(_) if self.sends == 0 => return Err(Refusal::NotRun),
-            Err(_) => return Err(Refusal::Timeout),
+        let prepared = self.prepared.take();
+        let has_budget = prepared.is_some();
+        let slot = match prepared {
+            Some(slot) => slot,
+            None => self.get_slot(left_ms).await?,
         };
         let sent = clock::now();
         let mut sending = Sending { slot, sent };
@@ -210,7 +208,8 @@
             info!(event = "left", request:% = self.admitted.head.id, target:% = sending.slot.target, scheduler:% = sending.slot.scheduler; "the scheduler does not know that the target leaves");
             return Ok((sending, Attempt::Left));
         }
-        if self.arrivals > 0 && !self.gateway.limiter.may_repeat(&self.admitted.pool) {
+        if self.arrivals > 0 && !has_budget && !self.gateway.limiter.may_repeat(&self.admitted.pool)
+        {
             info!(event = "repeat_budget", request:% = self.admitted.head.id; "no budget for another send");
             return Err(Refusal::NotRun);
         }
@@ -225,6 +224,65 @@
         Ok((sending, attempt))
     }
 
+    async fn get_slot(&self, left_ms: f64) -> Result<Slot, Refusal> {
+        let slot = self.gateway.slots.acquire(self.offer());
+        let limit = Duration::from_secs_f64(left_ms / 1000.0);
+        match timeout(limit, slot).await {
+            Ok(Ok(slot)) => Ok(slot),
+            Ok(Err(declined)) => {
+                info!(event = "declined", request:% = self.admitted.head.id, no_target = declined.no_target; "no slot");
+                let retry_after_ms = declined.retry_after_ms;
+                Err(match self.admitted.beyond_quota {
+                    true => Refusal::OverQuota { retry_after_ms },
+                    false => Refusal::Overload { retry_after_ms },
+                })
+            }
+            Err(_) if self.sends == 0 => Err(Refusal::NotRun),
+            Err(_) => Err(Refusal::Timeout),
+        }
+    }
+
+    /// Waits for a target; once it is silent for `patience`, looks for another one meanwhile.
+    ///
+    /// None if the request is to go there, or if its time is over. Silence alone is no reason to
+    /// give a request up: without a slot elsewhere the wait goes on.
+    pub async fn wait_or_switch<T>(
+        &mut self,
+        pending: impl Future<Output = T>,
+        patience: Duration,
+        current: &TargetName,
+    ) -> Option<T> {
+        tokio::pin!(pending);
+        if let Ok(output) = timeout(patience, &mut pending).await {
+            return Some(output);
+        }
+        if self.may_switch() {
+            let mut offer = self.offer();
+            offer.exclude.push(current.clone());
+            offer.resumes = true;
+            let gateway = self.gateway.clone();
+            let slot = tokio::select! {
+                output = &mut pending => return Some(output),
+                slot = gateway.slots.acquire(offer) => slot,
+            };
+            if let Ok(slot) = slot
+                && gateway.limiter.may_repeat(&self.admitted.pool)
+            {
+                self.prepared = Some(slot);
+                return None;
+            }
+        }
+        let left = Duration::from_secs_f64(self.left_ms().max(1.0) / 1000.0);
+        timeout(left, pending).await.ok()
+    }
+
+    // Whether the request may go to one more target while one has it.
+    fn may_switch(&self) -> bool {
+        self.admitted.route.repeat != Repeat::Never
+            && self.sends + 1 < self.admitted.route.attempts
+            && self.left_ms() > MIN_SEND_MS
+    }
+
     fn offer(&self) -> Offer {
         let a = &self.admitted;
         Offer {
@@ -254,7 +312,10 @@
                 Ok(channel) => channel,
                 Err(e) => {
                     info!(event = "unreachable", request:% = self.admitted.head.id, target:% = sending.slot.target, error:% = e; "nothing sent");
-                    return Attempt::Unreachable;
+                    return match e {
+                        ConnectError::Timeout => Attempt::Unreachable,
+                        ConnectError::Refused => Attempt::Down,
+                    };
                 }
             };
             let left_ms = self.left_ms();
@@ -264,33 +325,33 @@
             let req = self.target_request(&sending.slot, left_ms, last_event);
             sending.sent = clock::now();
             let patience = self.patience(&sending.slot, left_ms);
-            match timeout(patience, channel.send(req)).await {
+            let target = sending.slot.target.clone();
+            let sent = self.wait_or_switch(channel.send(req), patience, &target);
+            match sent.await {
                 // The connection had been closed while it was idle: the next one is tried.
-                Ok(Sent::NotSent) if channel.reused => continue,
-                Ok(Sent::NotSent) => return Attempt::Unreachable,
-                Ok(Sent::Answer(response)) => {
+                Some(Sent::NotSent) if channel.reused => continue,
+                Some(Sent::NotSent) => return Attempt::Unreachable,
+                Some(Sent::Answer(response)) => {
                     let patience = patience.saturating_sub(elapsed(sending.sent));
                     return self.read(response, channel, patience, sending).await;
                 }
-                Ok(Sent::Broken(e)) => {
+                Some(Sent::Broken(e)) => {
                     info!(event = "broken", request:% = self.admitted.head.id, target:% = sending.slot.target, reused = channel.reused, error:% = e; "no answer");
                     return Attempt::Broken;
                 }
-                Err(_) => return Attempt::Silent,
+                None => return Attempt::Silent,
             }
         }
     }
 
-    // How long to wait for the first byte. Only what may be repeated is given up early.
+    // How long a target may take for its first byte before another one is looked for.
     fn patience(&self, slot: &Slot, left_ms: f64) -> Duration {
-        let expected = (slot.first_ms * SILENCE_FACTOR).max(MIN_SILENCE_MS);
-        let again = self.admitted.route.repeat != Repeat::Never
-            && self.sends + 1 < self.admitted.route.attempts;
-        let ms = match again {
-            true => expected.min(left_ms),
-            false => left_ms,
+        let least = match slot.proven {
+            true => PROVEN_SILENCE_MS,
+            false => MIN_SILENCE_MS,
         };
-        Duration::from_secs_f64(ms.max(1.0) / 1000.0)
+        let expected = (slot.first_ms * SILENCE_FACTOR).max(least);
+        Duration::from_secs_f64(expected.min(left_ms).max(1.0) / 1000.0)
     }
 
     fn target_request(
@@ -330,28 +391,31 @@
         }
         if self.admitted.route.streams && parts.status.is_success() {
             let mut reader = EventReader::new(body);
-            return match timeout(patience, reader.next()).await {
-                Ok(Next::Event(first)) => Attempt::Started(Box::new(Started {
+            let target = &sending.slot.target;
+            let next = self.wait_or_switch(reader.next(), patience, target).await;
+            return match next {
+                Some(Next::Event(first)) => Attempt::Started(Box::new(Started {
                     parts,
                     reader,
                     channel,
                     first: Some(first),
                     sent: sending.sent,
                 })),
-                Ok(Next::End) => Attempt::Started(Box::new(Started {
+                Some(Next::End) => Attempt::Started(Box::new(Started {
                     parts,
                     reader,
                     channel,
                     first: None,
                     sent: sending.sent,
                 })),
-                Ok(Next::Broken) => Attempt::Broken,
-                Err(_) => Attempt::Silent,
+                Some(Next::Broken) => Attempt::Broken,
+                None => Attempt::Silent,
             };
         }
         let whole = Limited::new(body, MAX_ANSWER_BYTES).collect();
-        match timeout(patience, whole).await {
-            Ok(Ok(body)) => {
+        let whole = self.wait_or_switch(whole, patience, &sending.slot.target);
+        match whole.await {
+            Some(Ok(body)) => {
                 self.gateway.channels.put_back(channel, &parts.headers);
                 match head.not_run || head.misdirected {
                     true => Attempt::NotRun {
@@ -360,11 +424,11 @@
                     false => Attempt::Whole(parts, body.to_bytes()),
                 }
             }
-            Ok(Err(_)) if head.not_run || head.misdirected => Attempt::NotRun {
+            Some(Err(_)) if head.not_run || head.misdirected => Attempt::NotRun {
                 misdirected: head.misdirected,
             },
-            Ok(Err(_)) => Attempt::Broken,
-            Err(_) => Attempt::Silent,
+            Some(Err(_)) => Attempt::Broken,
+            None => Attempt::Silent,
         }
     }
 
@@ -390,6 +454,10 @@
                 self.unreachable += 1;
                 (Outcome::Unreachable, Refusal::NotRun, "unreachable")
             }
+            Attempt::Down => {
+                self.unreachable += 1;
+                (Outcome::Down, Refusal::NotRun, "down")
+            }
             Attempt::Left => {
                 self.unreachable += 1;
                 (Outcome::Gone, Refusal::NotRun, "left")
@@ -423,7 +491,9 @@
     /// Whether the request may be sent again after a failed attempt.
     pub fn may_go_on(&self, attempt: &Attempt) -> bool {
         match attempt {
-            Attempt::Unreachable | Attempt::Left => self.unreachable < MAX_UNREACHABLE,
+            Attempt::Unreachable | Attempt::Down | Attempt::Left => {
+                self.unreachable < MAX_UNREACHABLE
+            }
             Attempt::NotRun { .. } => self.refusals < MAX_REFUSALS,
             _ => self.may_resend(),
         }
@@ -443,13 +513,7 @@
 
     /// Time until a stream in progress counts as silent.
     pub fn stream_patience(&self) -> Duration {
-        let left_ms = self.left_ms().max(1.0);
-        let again = self.admitted.route.repeat == Repeat::Resume
-            && self.sends + 1 < self.admitted.route.attempts;
-        let ms = match again {
-            true => STREAM_SILENCE_MS.min(left_ms),
-            false => left_ms,
-        };
+        let ms = STREAM_SILENCE_MS.min(self.left_ms()).max(1.0);
         Duration::from_secs_f64(ms / 1000.0)
     }
 
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -50,6 +50,8 @@
     pub address: SocketAddr,
     /// Expected milliseconds to the first byte.
     pub first_ms: f64,
+    /// Whether the target has answered anything lately.
+    pub proven: bool,
     /// The node that granted it, for logs.
     pub scheduler: InstanceName,
     holder: Holder,
@@ -263,6 +265,7 @@
             target: granted.target,
             address: granted.address,
             first_ms: granted.first_ms,
+            proven: granted.proven,
             scheduler,
             holder,
         }
--- a/crates/lab/src/site/runner.rs
+++ b/crates/lab/src/site/runner.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -38,8 +39,13 @@
     Unframed,
     /// Runs it and never answers.
     Silent,
+    /// Answers in full, with a pause in the middle.
+    Pauses,
 }
 
+/// Length of a pause: longer than the gateway takes a stream for silent.
+const PAUSE: Duration = Duration::from_millis(2000);
+
 /// One request that reached the runner.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Arrival {
@@ -181,7 +187,15 @@
         arrived.send_modify(|n| *n += 1);
         let arrival = Arrival { head, ran: true };
         let (bytes, keeps) = answer(behaviour, &arrival);
-        tcp.write_all(&bytes).await?;
+        let middle = match behaviour {
+            Behaviour::Pauses => bytes.len() - bytes.len() / 4,
+            _ => bytes.len(),
+        };
+        tcp.write_all(&bytes[..middle]).await?;
+        if behaviour == Behaviour::Pauses {
+            tokio::time::sleep(PAUSE).await;
+            tcp.write_all(&bytes[middle..]).await?;
+        }
         if behaviour == Behaviour::Silent {
             // Until the caller closes the connection.
             while tcp.read_buf(&mut buf).await? > 0 {}
@@ -232,7 +246,7 @@
     let sized = |text: &str| format!("Content-Length: {}\r\n\r\n{text}", text.len());
     let whole = |id: &str, more: &str| head("200 OK", id, more) + &sized(&body);
     let (text, keeps) = match behaviour {
-        Behaviour::Answer => (whole(id, "Seal: s\r\n"), true),
+        Behaviour::Answer | Behaviour::Pauses => (whole(id, "Seal: s\r\n"), true),
         Behaviour::NotRun => {
             let more = "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
             (head("503 Service Unavailable", id, more), true)
--- a/crates/lab/tests/gateway/requests.rs
+++ b/crates/lab/tests/gateway/requests.rs
@@ -276,3 +276,27 @@
     // Ends only when the gateway has closed its connection to the runner.
     site.models[0].await_closed().await;
 }
+
+#[tokio::test]
+async fn a_silent_stream_without_another_target_is_waited_for() {
+    let site = Site::start(1, 1, 1).await;
+    site.models[0].plan(&[Behaviour::Pauses]);
+    let result = site.call(&post("/resume/a", "r1")).await;
+    assert!(result.whole);
+    assert_eq!(String::from_utf8_lossy(&result.body), stream(1));
+    assert_eq!(site.runs("r1"), 1);
+}
+
+#[tokio::test]
+async fn a_silent_stream_goes_on_at_another_target() {
+    let site = Site::start(1, 1, 2).await;
+    site.models[0].plan(&[Behaviour::Pauses]);
+    let mut n = 0;
+    while site.models[0].arrivals().is_empty() {
+        n += 1;
+        let result = site.call(&post("/resume/a", &format!("r{n}"))).await;
+        assert!(result.whole);
+        assert_eq!(String::from_utf8_lossy(&result.body), stream(1));
+    }
+    assert_eq!(site.runs(&format!("r{n}")), 2);
+}
--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -106,8 +106,10 @@
     Full,
     /// The address belongs to another target, or the target is leaving.
     Gone,
-    /// No connection could be opened.
+    /// No connection came about in time; the node itself may be cut off.
     Unreachable,
+    /// Nobody listens at the target's address.
+    Down,
     /// The connection broke, or the answer was not the target's.
     Broken,
     /// Nothing came for longer than the target should need.
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -8,7 +8,7 @@
 use crate::target::Target;
 use crate::{Moment, Offer, OfferId, Outcome, Rank, TargetInfo};
 
-/// Waiting requests that are weighed for the free slots in one round.
+/// Waiting requests without a fitting target that are looked at in one round.
 const WINDOW: usize = 48;
 /// Least time after which a refused caller is told to come back, in milliseconds.
 const MIN_RETRY_AFTER_MS: f64 = 300.0;
@@ -29,6 +29,9 @@
 /// Share of its aim for which a request beyond its workspace's quota waits.
 const BEYOND_WAIT_SHARE: f64 = 0.1;
 
+/// Part of the nodes below which a scheduler must suppose that others schedule too.
+const MINORITY: f64 = 0.5;
+
 /// Settings of a scheduler.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementSettings {
@@ -62,6 +65,8 @@
         address: SocketAddr,
         /// Expected milliseconds to the first byte.
         first_ms: f64,
+        /// Whether the target has answered anything lately.
+        proven: bool,
         /// How long the request waited, in milliseconds.
         waited_ms: f64,
     },
@@ -153,6 +158,7 @@
     pools: IndexMap<PoolName, Pool>,
     granted: IndexMap<OfferId, (PoolName, TargetName)>,
     next_id: u64,
+    share: Option<f64>,
 }
 
 impl Scheduler {
@@ -187,6 +193,14 @@
         }
     }
 
+    /// Sets which part of the nodes this one can see.
+    ///
+    /// A scheduler of a small part that is cut off from the others uses only that part of the
+    /// slots, because others schedule the same targets.
+    pub fn set_visible_share(&mut self, share: f64) {
+        self.share = (share < MINORITY).then_some(share);
+    }
+
     /// The pools that have targets.
     pub fn pools(&self) -> impl Iterator<Item = &PoolName> {
         self.pools.keys()
@@ -233,14 +247,15 @@
                 continue;
             }
             pool.sort(now);
-            let granted = pool.grant_free(now);
-            for (w, target, address, first_ms) in granted {
+            let granted = pool.grant_free(self.share, now);
+            for (w, target, address, first_ms, proven) in granted {
                 self.granted.insert(w.id, (name.clone(), target.clone()));
                 let waited_ms = now - w.since;
                 let decision = Decision::Grant {
                     target,
                     address,
                     first_ms,
+                    proven,
                     waited_ms,
                 };
                 out.push((w.id, decision));
@@ -273,7 +288,7 @@
     }
 }
 
-type Granted = (Waiting, TargetName, SocketAddr, f64);
+type Granted = (Waiting, TargetName, SocketAddr, f64, bool);
 
 impl Pool {
     fn sort(&mut self, now: Moment) {
@@ -289,16 +304,15 @@
         });
     }
 
-    fn grant_free(&mut self, now: Moment) -> Vec<Granted> {
+    fn grant_free(&mut self, share: Option<f64>, now: Moment) -> Vec<Granted> {
         let mut out = Vec::new();
         let mut index = 0;
         let mut seen = 0;
         while index < self.waiting.len() && seen < WINDOW {
             let free: u32 = self.targets.values().map(|t| t.free_slots(now)).sum();
-            if free == 0 {
+            if free == 0 || share.is_some_and(|s| self.is_above(s)) {
                 break;
             }
-            seen += 1;
             let offer = &self.waiting[index].offer;
             let able = self.targets.values_mut().filter(|t| t.takes(offer, now));
             let cost = |t: &Target| t.cost(offer, now);
@@ -306,20 +320,30 @@
             match best {
                 Some(t) => {
                     let first_ms = t.first_ms(offer, now);
+                    let proven = t.is_proven(now);
                     let (name, address) = (t.info.name.clone(), t.info.address);
                     t.grant(self.waiting[index].id, offer, now);
                     let w = self.waiting.remove(index);
                     if matches!(w.order, Order::Late(..)) {
                         self.late_grants.push_back(now);
                     }
-                    out.push((w, name, address, first_ms));
+                    out.push((w, name, address, first_ms, proven));
+                }
+                None => {
+                    index += 1;
+                    seen += 1;
                 }
-                None => index += 1,
             }
         }
         out
     }
 
+    fn is_above(&self, share: f64) -> bool {
+        let slots: u32 = self.targets.values().map(|t| t.info.capacity.slots).sum();
+        let used: usize = self.targets.values().map(|t| t.in_flight.len()).sum();
+        used as f64 >= (f64::from(slots) * share).ceil()
+    }
+
     fn refuse_hopeless(
         &mut self,
         cfg: &PlacementSettings,
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -37,6 +37,10 @@
 const WITNESSES: usize = 2;
 /// Longest such pause, in milliseconds.
 const MAX_PAUSE_MS: f64 = 4000.0;
+/// Longest time between two tries of a target that is down, in milliseconds.
+const MAX_DOWN_MS: f64 = 1000.0;
+/// How long an answer proves that a target is at work, in milliseconds.
+const PROVEN_MS: f64 = 1000.0;
 /// Pause of a target that said it was full, in milliseconds.
 const FULL_PAUSE_MS: f64 = 120.0;
 /// Pause of a target whose address answers for another one, in milliseconds: by then the list
@@ -97,13 +101,21 @@
     pub home: InstanceName,
 }
 
-/// A node's pause of a target that it cannot reach.
+/// A pause of a target, for one node or for all; it doubles with each failure.
 #[derive(Clone, Copy, Debug)]
 struct Pause {
     until: Moment,
     length_ms: f64,
 }
 
+impl Pause {
+    fn after(last: Option<Self>, longest_ms: f64, now: Moment) -> Self {
+        let length_ms = last.map_or(FIRST_PAUSE_MS, |p| (p.length_ms * 2.0).min(longest_ms));
+        let until = now + length_ms;
+        Self { until, length_ms }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
     pub info: TargetInfo,
@@ -119,6 +131,9 @@
     failures_at: Moment,
     paused_until: Moment,
     pauses: IndexMap<InstanceName, Pause>,
+    // While it is down one request at a time finds out whether it is back.
+    down: Option<Pause>,
+    answered: Option<Moment>,
 }
 
 impl Target {
@@ -136,6 +151,8 @@
             failures_at: Moment::default(),
             paused_until: Moment::default(),
             pauses: IndexMap::new(),
+            down: None,
+            answered: None,
         }
     }
 
@@ -177,8 +194,16 @@
 
     /// Whether new work goes to the target at all.
     pub fn is_usable(&self, now: Moment) -> bool {
-        let unreached = self.pauses.values().filter(|p| p.until > now).count();
-        !self.info.leaving && now >= self.paused_until && unreached < WITNESSES
+        let is_up = match self.down {
+            None => true,
+            Some(p) => now >= p.until && self.in_flight.is_empty(),
+        };
+        !self.info.leaving && now >= self.paused_until && is_up
+    }
+
+    /// Whether it has answered anything lately.
+    pub fn is_proven(&self, now: Moment) -> bool {
+        self.answered.is_some_and(|t| now - t < PROVEN_MS)
     }
 
     fn is_paused_for(&self, home: &InstanceName, now: Moment) -> bool {
@@ -297,6 +322,15 @@
         let Some(done) = self.in_flight.swap_remove(&id) else {
             return;
         };
+        match outcome {
+            Outcome::Unused | Outcome::Unreachable | Outcome::Down => (),
+            Outcome::Broken | Outcome::Silent => (),
+            _ => {
+                self.answered = Some(now);
+                self.down = None;
+                self.pauses.swap_remove(&done.home);
+            }
+        }
         match outcome {
             Outcome::Unused => (),
             Outcome::Complete {
@@ -308,6 +342,10 @@
             Outcome::Full => self.paused_until = now + FULL_PAUSE_MS,
             Outcome::Gone => self.paused_until = now + GONE_PAUSE_MS,
             Outcome::Broken => self.note_failure(0.35, now),
+            Outcome::Down => {
+                self.note_failure(0.5, now);
+                self.set_down(now);
+            }
             Outcome::Unreachable | Outcome::Silent => {
                 self.note_failure(0.5, now);
                 self.pause_for(done.home, now);
@@ -318,7 +356,6 @@
     fn learn(&mut self, done: &InFlight, first_ms: f64, rest_ms: f64, output: u32, now: Moment) {
         self.failures = self.failures(now) * 0.7;
         self.failures_at = now;
-        self.pauses.swap_remove(&done.home);
         if done.tokens == 0 {
             blend(&mut self.call_ms, first_ms + rest_ms);
             return;
@@ -334,10 +371,20 @@
     }
 
     fn pause_for(&mut self, home: InstanceName, now: Moment) {
-        let last = self.pauses.get(&home).map(|p| p.length_ms);
-        let length_ms = last.map_or(FIRST_PAUSE_MS, |ms| (ms * 2.0).min(MAX_PAUSE_MS));
-        let until = now + length_ms;
-        self.pauses.insert(home, Pause { until, length_ms });
+        let last = self.pauses.get(&home).copied();
+        self.pauses
+            .insert(home, Pause::after(last, MAX_PAUSE_MS, now));
+        let witnesses = self.pauses.values().filter(|p| p.until > now).count();
+        if witnesses >= WITNESSES {
+            self.set_down(now);
+        }
+    }
+
+    // Several requests that fail together are one failure.
+    fn set_down(&mut self, now: Moment) {
+        if self.down.is_none_or(|p| now >= p.until) {
+            self.down = Some(Pause::after(self.down, MAX_DOWN_MS, now));
+        }
     }
 
     fn note_failure(&mut self, weight: f64, now: Moment) {
--- a/crates/placement/tests/placement/choice.rs
+++ b/crates/placement/tests/placement/choice.rs
@@ -151,3 +151,48 @@
     let first = s.poll(at(0.0)).len();
     assert_eq!(first, 2);
 }
+
+/// Pattern: a target crashes under load, and every node has requests waiting for its slots.
+#[test]
+fn a_target_that_is_down_costs_one_request_at_a_time() {
+    let mut s = scheduler(vec![target("a", 6)]);
+    let from = |n: u32| Offer {
+        home: format!("n{n}").parse().unwrap(),
+        ..offer(0)
+    };
+    let mut tries = 0;
+    for ms in 0..4_000 {
+        let now = at(f64::from(ms));
+        s.offer(from(ms % 84), now);
+        let decisions = s.poll(now);
+        for id in crate::helper::grants(&decisions) {
+            tries += 1;
+            s.finish(id, Outcome::Down, now);
+        }
+    }
+    assert!(tries < 15, "{tries} requests went to a target that is down");
+    let id = s.offer(from(1), at(10_000.0));
+    s.poll(at(10_000.0));
+    s.finish(id, complete(30.0, 300.0, 100), at(10_001.0));
+    for _ in 0..6 {
+        s.offer(from(1), at(10_002.0));
+    }
+    assert!(
+        s.poll(at(10_002.0)).len() >= 6,
+        "it is back and gets work again"
+    );
+}
+
+/// Pattern: a few nodes are cut off from the others and place by themselves.
+#[test]
+fn a_node_that_is_cut_off_uses_its_part_of_the_slots() {
+    let mut s = scheduler((0..10).map(|n| target(&format!("t{n}"), 6)).collect());
+    s.set_visible_share(0.1);
+    for _ in 0..60 {
+        s.offer(offer(0), at(0.0));
+    }
+    assert_eq!(s.poll(at(0.0)).len(), 6);
+    // Most of the nodes are here: the others are more likely gone.
+    s.set_visible_share(0.7);
+    assert_eq!(s.poll(at(1.0)).len(), 54);
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -247,6 +247,8 @@
     pub address: SocketAddr,
     /// Expected milliseconds to the first byte of the answer.
     pub first_ms: f64,
+    /// Whether the target has answered anything lately.
+    pub proven: bool,
 }
 
 /// Everything that one node says to another.
