Schedulers hear of first bytes, run on the larger nodes and get 350 ms to answer

Homes now report the first byte, which also corrects the backlog at once; nodes with more processor schedule first. Not measured yet.

--- a/crates/control/tests/publishing.rs
+++ b/crates/control/tests/publishing.rs
@@ -113,6 +113,7 @@
         http: address,
         peer: address,
         zone: "z".parse().unwrap(),
+        cpu_milli: 0,
     };
     let directory = Arc::new(Directory::new(own));
     let second = Duration::from_secs(1);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -521,6 +521,7 @@
         http: cfg.listen.requests,
         peer: cfg.listen.peers,
         zone: cfg.zone.clone(),
+        cpu_milli: (cfg.cpu_share * 1000.0) as u32,
     }
 }
 
--- a/crates/gateway/src/owner.rs
+++ b/crates/gateway/src/owner.rs
@@ -59,6 +59,12 @@
         self.decision.try_recv().ok().map(answer)
     }
 
+    /// Notes that the target has begun to answer.
+    pub fn begun(&self, first_ms: f64) {
+        let mut inner = self.owner.lock();
+        inner.scheduler.begun(self.id, first_ms, clock::now());
+    }
+
     /// Frees the slot and says how it went.
     pub fn release(mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -163,10 +169,16 @@
                 return ex.send_last(&message).await;
             }
         }
-        if let Some(Message::Release(outcome)) = ex.recv().await? {
-            ticket.release(outcome);
+        loop {
+            match ex.recv().await? {
+                Some(Message::Begun { first_ms }) => ticket.begun(first_ms),
+                Some(Message::Release(outcome)) => {
+                    ticket.release(outcome);
+                    return Ok(());
+                }
+                _ => return Ok(()),
+            }
         }
-        Ok(())
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -135,7 +135,7 @@
     }
 
     // Passes on one target's part of the stream; gives the slot back if the target failed.
-    async fn pass(&mut self, slot: Slot, started: Started) -> Result<Ended, (Slot, Attempt)> {
+    async fn pass(&mut self, mut slot: Slot, started: Started) -> Result<Ended, (Slot, Attempt)> {
         let Started {
             parts,
             mut reader,
@@ -144,6 +144,7 @@
             sent,
         } = started;
         let first_ms = clock::now() - sent;
+        slot.begun(first_ms).await;
         let begun = clock::now();
         let before = self.events;
         let mut next = match first {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -34,7 +34,7 @@
 /// A target is silent when its first byte takes this many times longer than expected ...
 const SILENCE_FACTOR: f64 = 3.0;
 /// ... and at least this long, in milliseconds, ...
-const MIN_SILENCE_MS: f64 = 700.0;
+const MIN_SILENCE_MS: f64 = 900.0;
 /// ... or this long if it has just answered others.
 const PROVEN_SILENCE_MS: f64 = 2000.0;
 /// A target with a stream in progress is silent after this time, in milliseconds.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -98,6 +98,9 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// The node's share of a core; nodes with more of it schedule for the others.
+    #[serde(default = "whole_core")]
+    pub cpu_share: f64,
     /// Shared by all nodes; proves a peer at connect.
     pub secret: Secret,
     /// Bounds that the operators state.
@@ -105,6 +108,10 @@
     pub bounds: Bounds,
 }
 
+fn whole_core() -> f64 {
+    1.0
+}
+
 impl GatewaySettings {
     /// Reads and checks settings.
     ///
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -17,8 +17,9 @@
 use crate::shards::{Shard, Shards};
 use crate::{Views, clock};
 
-/// How long a scheduler may take to say that it has an offer: some round trips between zones.
-const FIRST_ANSWER_LIMIT: Duration = Duration::from_millis(150);
+/// How long a scheduler may take to say that it has an offer. A busy one takes longer than the
+/// round trip, and leaving it makes its successor count from zero.
+const FIRST_ANSWER_LIMIT: Duration = Duration::from_millis(350);
 /// How long a scheduler that did not answer is passed over, in milliseconds: until membership
 /// has found out whether it is gone.
 const AVOID_MS: f64 = 2000.0;
@@ -58,6 +59,17 @@
 }
 
 impl Slot {
+    /// Tells the scheduler that the target has begun to answer.
+    pub async fn begun(&mut self, first_ms: f64) {
+        match &mut self.holder {
+            Holder::Local(ticket) => ticket.begun(first_ms),
+            Holder::Remote(ex) => {
+                // A lost scheduler shows when the slot is given back.
+                let _ = ex.send(&Message::Begun { first_ms }).await;
+            }
+        }
+    }
+
     /// Gives the slot back and says how it went.
     pub fn release(self, outcome: Outcome) {
         match self.holder {
@@ -214,6 +226,8 @@
         if ranked.is_empty() {
             ranked = rank(key, usable());
         }
+        // Scheduling takes processor time: the nodes with the most of it come first.
+        ranked.sort_by_key(|m| std::cmp::Reverse(m.cpu_milli));
         ranked.into_iter().map(|m| m.name.clone()).collect()
     }
 
--- a/crates/lab/tests/gateway/helper.rs
+++ b/crates/lab/tests/gateway/helper.rs
@@ -101,6 +101,7 @@
             },
             seeds: vec![SocketAddr::new(address(self.block, 1), PEERS)],
             store: self.store.address(),
+            cpu_share: 1.0,
             secret: Secret::new("a secret of the tests"),
             bounds: Bounds::default(),
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -286,6 +286,7 @@
         http: cfg.http,
         peer: cfg.peer,
         zone: cfg.zone.clone(),
+        cpu_milli: 0,
     }
 }
 
--- a/crates/peer/src/directory.rs
+++ b/crates/peer/src/directory.rs
@@ -437,5 +437,6 @@
         http: listed.http,
         peer: listed.peer,
         zone: listed.zone.clone(),
+        cpu_milli: 0,
     }
 }
--- a/crates/peer/tests/directory.rs
+++ b/crates/peer/tests/directory.rs
@@ -20,6 +20,7 @@
         http: "127.0.0.1:1".parse().unwrap(),
         peer: "127.0.0.1:2".parse().unwrap(),
         zone: "z".parse().unwrap(),
+        cpu_milli: 0,
     }
 }
 
--- a/crates/peer/tests/strangers.rs
+++ b/crates/peer/tests/strangers.rs
@@ -55,6 +55,7 @@
         http: to,
         peer: to,
         zone: "z".parse().unwrap(),
+        cpu_milli: 0,
     };
     let directory = Arc::new(Directory::new(own));
     directory.apply_list(&[ListedInstance {
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -237,6 +237,17 @@
         }
     }
 
+    /// Notes that a target has begun to answer, `first_ms` after the request was sent to it.
+    pub fn begun(&mut self, id: OfferId, first_ms: f64, now: Moment) {
+        let target = self.granted.get(&id).and_then(|(pool, target)| {
+            let pool = self.pools.get_mut(pool)?;
+            pool.targets.get_mut(target)
+        });
+        if let Some(t) = target {
+            t.begun(id, first_ms, now);
+        }
+    }
+
     /// Everything that can be decided now.
     ///
     /// Call it after each change, and several times a second while offers wait.
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -317,6 +317,27 @@
         self.in_flight.insert(id, in_flight);
     }
 
+    /// Learns from the first byte of an answer.
+    pub fn begun(&mut self, id: OfferId, first_ms: f64, now: Moment) {
+        self.answered = Some(now);
+        self.down = None;
+        let Some(f) = self.in_flight.get_mut(&id) else {
+            return;
+        };
+        // Learned once: the end of the request says the same again.
+        let uncached = std::mem::take(&mut f.uncached);
+        let ahead = f.ahead;
+        self.learn_prefill(uncached, ahead, first_ms);
+    }
+
+    fn learn_prefill(&mut self, uncached: u32, ahead: f64, first_ms: f64) {
+        if uncached >= MIN_PREFILL_SAMPLE {
+            let tokens = f64::from(uncached) + ahead;
+            let ms = (first_ms - BASE_FIRST_MS).max(1.0);
+            blend(&mut self.prefill_ms_per_token, ms / tokens);
+        }
+    }
+
     /// Frees a slot and learns from what happened on it.
     pub fn finish(&mut self, id: OfferId, outcome: Outcome, now: Moment) {
         let Some(done) = self.in_flight.swap_remove(&id) else {
@@ -360,11 +381,7 @@
             blend(&mut self.call_ms, first_ms + rest_ms);
             return;
         }
-        if done.uncached >= MIN_PREFILL_SAMPLE {
-            let tokens = f64::from(done.uncached) + done.ahead;
-            let ms = (first_ms - BASE_FIRST_MS).max(1.0);
-            blend(&mut self.prefill_ms_per_token, ms / tokens);
-        }
+        self.learn_prefill(done.uncached, done.ahead, first_ms);
         if output >= MIN_STEP_SAMPLE {
             blend(&mut self.step_ms, rest_ms / f64::from(output));
         }
--- a/crates/sched/tests/sched/helper.rs
+++ b/crates/sched/tests/sched/helper.rs
@@ -50,6 +50,7 @@
         http: "127.0.0.1:1".parse().unwrap(),
         peer: "127.0.0.1:2".parse().unwrap(),
         zone: "z".parse().unwrap(),
+        cpu_milli: 0,
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -54,6 +54,8 @@
     pub peer: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// Its share of a core, in thousandths; zero if that is not known.
+    pub cpu_milli: u32,
 }
 
 /// A group of targets in one region whose first pool is the same, with one owner.
@@ -348,6 +350,11 @@
         /// When the caller may come back, in milliseconds.
         retry_after_ms: f64,
     },
+    /// The target has begun to answer, so many milliseconds after the request was sent.
+    Begun {
+        /// The time to the first byte, in milliseconds.
+        first_ms: f64,
+    },
     /// Gives a slot back.
     Release(rwd_placement::Outcome),
     /// Asks the workspace's banker for quota units.
