--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the store: the configuration, the registry of targets, the other nodes.
 
 use log::{info, warn};
+use rwd_metrics::{Metrics, label};
 use rwd_peer::{Directory, ListedInstance};
 use rwd_placement::Moment;
 use rwd_timer::Timer;
@@ -52,14 +53,16 @@
 /// Logs when a dependency is lost and when it is back, once each.
 struct Contact {
     feed: Feed,
+    metrics: Arc<Metrics>,
     lost: bool,
     last_good: Moment,
 }
 
 impl Contact {
-    fn new(feed: Feed) -> Self {
+    fn new(feed: Feed, metrics: Arc<Metrics>) -> Self {
         Self {
             feed,
+            metrics,
             lost: false,
             last_good: clock::now(),
         }
@@ -82,6 +85,9 @@
     }
 
     fn bad(&mut self, e: &StoreError) {
+        self.metrics
+            .store_reads_failed
+            .add(1, &[label("feed", self.feed)]);
         if !self.lost {
             warn!(event = "store_lost", feed:% = self.feed, error:% = e; "the store does not answer");
         }
@@ -109,9 +115,10 @@
 pub(crate) async fn configuration<S: Store>(
     store: Arc<S>,
     views: Arc<Views>,
+    metrics: Arc<Metrics>,
     mut reads: watch::Receiver<bool>,
 ) {
-    let mut contact = Contact::new(Feed::Configuration);
+    let mut contact = Contact::new(Feed::Configuration, metrics);
     let mut backoff = Backoff::default();
     let mut next: Option<u64> = None;
     loop {
@@ -166,9 +173,10 @@
     store: Arc<S>,
     views: Arc<Views>,
     timer: Timer,
+    metrics: Arc<Metrics>,
     mut reads: watch::Receiver<bool>,
 ) {
-    let mut contact = Contact::new(Feed::Targets);
+    let mut contact = Contact::new(Feed::Targets, metrics);
     let mut backoff = Backoff::default();
     let mut ticks = timer.every(TARGETS_PERIOD);
     let mut next: Option<u64> = None;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use log::info;
 use rand::RngExt;
+use rwd_metrics::{Metrics, label};
 use rwd_peer::Directory;
 use rwd_placement::{Moment, Rank};
 use rwd_types::{InstanceName, PoolName, ZoneName};
@@ -61,6 +62,7 @@
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
     pub output_shares: Mutex<IndexMap<CompactString, f64>>,
+    pub metrics: Arc<Metrics>,
     pub in_progress: AtomicUsize,
     /// Whether the node is so close to its end that it takes no further request.
     pub is_closed: AtomicBool,
@@ -96,20 +98,21 @@
     pub async fn serve(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         self.in_progress.fetch_add(1, Ordering::Relaxed);
         let in_progress = InProgress(self.clone());
+        self.metrics.accepted.add(1, &[]);
         let arrived = clock::now();
         let (parts, body) = req.into_parts();
         if self.is_closed.load(Ordering::Relaxed) {
-            return refused("", Refusal::Leaving);
+            return self.refused("", Refusal::Leaving);
         }
         let admitted = match self.admit(&parts, arrived).await {
             Ok(admitted) => admitted,
-            Err((id, refusal)) => return refused(&id, refusal),
+            Err((id, refusal)) => return self.refused(&id, refusal),
         };
         let body = match self.read_body(body, &admitted).await {
             Ok(body) => body,
             Err(refusal) => {
                 self.put_back_units(&admitted);
-                return refused(&admitted.head.id, refusal);
+                return self.refused(&admitted.head.id, refusal);
             }
         };
         Run::new(self, admitted, parts, body, in_progress)
@@ -117,6 +120,14 @@
             .await
     }
 
+    fn refused(&self, id: &str, refusal: Refusal) -> Response<Body> {
+        let (status, age_ms) = (refusal.status().as_u16(), self.views.catalog_age_ms());
+        let config = self.views.catalog().map(|c| c.version);
+        info!(event = "answer", request = id, outcome:% = refusal, status, config:?, config_age_ms = age_ms as u64; "refused");
+        self.metrics.ended.add(1, &[label("outcome", refusal)]);
+        refusal.response()
+    }
+
     async fn read_body(&self, body: Incoming, admitted: &Admitted) -> Result<Bytes, Refusal> {
         let limited = Limited::new(body, admitted.catalog.limits.body_bytes);
         match timeout(BODY_TIMEOUT, limited.collect()).await {
@@ -255,11 +266,6 @@
     }
 }
 
-fn refused(id: &str, refusal: Refusal) -> Response<Body> {
-    info!(event = "answer", request = id, outcome:% = refusal, status = refusal.status().as_u16(); "refused");
-    refusal.response()
-}
-
 // A split sends each request to one of its pools by chance.
 fn choose_pool(route: &Route) -> Option<PoolName> {
     let total: u32 = route.pools.iter().map(|(_, weight)| weight).sum();
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -166,13 +166,14 @@
             directory: directory.clone(),
             limiter: limiter.clone(),
             output_shares: Mutex::new(IndexMap::new()),
+            metrics: metrics.clone(),
             in_progress: AtomicUsize::new(0),
             is_closed: AtomicBool::new(false),
         });
         let stop = watch::Sender::new(Stop::Running);
         let front = Arc::new(Front {
             gateway: gateway.clone(),
-            metrics,
+            metrics: metrics.clone(),
             region: cfg.region.clone(),
             stop: stop.subscribe(),
         });
@@ -180,11 +181,17 @@
         let mut tasks = JoinSet::new();
         let reads = watch::Sender::new(true);
         let turn = || reads.subscribe();
-        tasks.spawn(follow::configuration(store.clone(), views.clone(), turn()));
+        tasks.spawn(follow::configuration(
+            store.clone(),
+            views.clone(),
+            metrics.clone(),
+            turn(),
+        ));
         tasks.spawn(follow::targets(
             store.clone(),
             views.clone(),
             timer.clone(),
+            metrics.clone(),
             turn(),
         ));
         let follower = Follower {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -58,6 +58,8 @@
         headers.remove(header::CONTENT_LENGTH);
         *response.headers_mut() = headers;
         let last_event = run.admitted.head.last_event;
+        let first_ms = clock::now() - run.admitted.arrived;
+        run.gateway.metrics.first_token_ms.record(first_ms, &[]);
         let relay = Self {
             run,
             tx,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use log::info;
+use rwd_metrics::label;
 use rwd_placement::{Moment, Offer, Outcome};
 use rwd_types::TargetName;
 use std::sync::Arc;
@@ -159,12 +160,17 @@
         refusal.response()
     }
 
+    /// Logs and counts the end of the request.
     pub fn log_end(&self, outcome: &str, status: u16) {
+        let ms = clock::now() - self.admitted.arrived;
+        let labels = [label("outcome", outcome)];
+        self.gateway.metrics.ended.add(1, &labels);
+        self.gateway.metrics.answer_ms.record(ms, &labels);
         info!(
             event = "answer", request:% = self.admitted.head.id, outcome, status,
             route:% = self.admitted.route.name, config = self.admitted.catalog.version,
             sends = self.sends, arrivals = self.arrivals, unreachable = self.unreachable,
-            ms = (clock::now() - self.admitted.arrived) as u64;
+            ms = ms as u64;
             "request ended"
         );
     }
@@ -213,6 +219,7 @@
             info!(event = "repeat_budget", request:% = self.admitted.head.id; "no budget for another send");
             return Err(Refusal::NotRun);
         }
+        self.gateway.metrics.slot_wait_ms.record(sent - asked, &[]);
         info!(
             event = "dispatch", request:% = self.admitted.head.id, target:% = sending.slot.target,
             scheduler:% = sending.slot.scheduler, waited_ms = (sent - asked) as u64,
@@ -483,6 +490,10 @@
                 (Outcome::Broken, Refusal::Unknown, "broken")
             }
         };
+        self.gateway
+            .metrics
+            .sends_failed
+            .add(1, &[label("kind", what)]);
         info!(event = "send_failed", request:% = self.admitted.head.id, target:% = sending.slot.target, scheduler:% = sending.slot.scheduler, what, ms = ms as u64; "send failed");
         sending.slot.release(outcome);
         refusal
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -46,6 +46,14 @@
     pub revisions: Counter<u64>,
     /// Time from acceptance to the first token, in milliseconds, by tier.
     pub first_token_ms: Histogram<f64>,
+    /// Time from acceptance to the end of an answer, in milliseconds, by outcome.
+    pub answer_ms: Histogram<f64>,
+    /// Time that requests waited for a slot, in milliseconds.
+    pub slot_wait_ms: Histogram<f64>,
+    /// Sends to targets that failed, by kind.
+    pub sends_failed: Counter<u64>,
+    /// Reads of the store that failed, by feed.
+    pub store_reads_failed: Counter<u64>,
 }
 
 impl Metrics {
@@ -71,6 +79,10 @@
             forwarded: counter(&meter, "calls_forwarded"),
             revisions: counter(&meter, "revisions_applied"),
             first_token_ms: times(&meter, "first_token_ms"),
+            answer_ms: times(&meter, "answer_ms"),
+            slot_wait_ms: times(&meter, "slot_wait_ms"),
+            sends_failed: counter(&meter, "sends_failed"),
+            store_reads_failed: counter(&meter, "store_reads_failed"),
             _provider: provider,
         })
     }
