Count a caller's aim from its first attempt; a seeded soak of real processes

Cause: under overload a third of the arrivals are callers that come back after a refusal; their aim has mostly passed, but they were served as if they were on time, before callers that still could be. A request with less time left than its route's callers usually give is taken to have been tried before. Soak: crates/core/tests/soak, gateway processes before stand-ins and relays; signals, silenced and blocked connections, store and runner faults, configuration changes.

--- /dev/null
+++ b/crates/core/tests/soak/installation.rs
@@ -0,0 +1,185 @@
+//! The processes, stand-ins and relays of one soak.
+
+use rwd_lab::site::{Runner, SiteStore, config_record, server_record};
+use rwd_lab::stand_in::TcpRelay;
+use serde_json::json;
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::process::{Child, Command};
+use tokio::sync::Mutex;
+use tokio::time::sleep;
+
+pub const KEY: &str = "k1";
+const DESKS: usize = 2;
+const MODELS: usize = 3;
+
+static BLOCK: AtomicU8 = AtomicU8::new(1);
+
+/// One gateway process, which is started again whenever it has ended.
+pub struct Node {
+    pub front: SocketAddr,
+    pub store_relay: TcpRelay,
+    settings: PathBuf,
+    child: Mutex<Option<Child>>,
+}
+
+pub struct Installation {
+    pub store: SiteStore,
+    pub runners: Vec<Runner>,
+    pub relays: Vec<TcpRelay>,
+    pub nodes: Vec<Node>,
+    sequence: AtomicU64,
+    version: AtomicU64,
+}
+
+impl Installation {
+    pub async fn start(nodes: u8) -> Self {
+        let block = (
+            (std::process::id() % 90) as u8 + 10,
+            BLOCK.fetch_add(1, Ordering::Relaxed),
+        );
+        let ip = |last| IpAddr::V4(Ipv4Addr::new(127, block.0, block.1, last));
+        let store = SiteStore::start(ip(250)).await.unwrap();
+        let mut site = Self {
+            store,
+            runners: Vec::new(),
+            relays: Vec::new(),
+            nodes: Vec::new(),
+            sequence: AtomicU64::new(1),
+            version: AtomicU64::new(0),
+        };
+        for n in 0..DESKS + MODELS {
+            let runner = Runner::start(ip(250), &format!("runner-{n}"))
+                .await
+                .unwrap();
+            let relay = TcpRelay::start(runner.address(), Duration::ZERO).await;
+            site.relays.push(relay.unwrap());
+            site.runners.push(runner);
+            site.list_runner(n, "ready");
+        }
+        site.change_config();
+        let seed = SocketAddr::new(ip(1), 7804);
+        for n in 0..nodes {
+            let relay = TcpRelay::start(site.store.address(), Duration::ZERO)
+                .await
+                .unwrap();
+            let ip = ip(n + 1);
+            let settings = json!({
+                "name": format!("node-{n}"), "zone": "z1", "region": "r1",
+                "listen": {
+                    "requests": SocketAddr::new(ip, 7801), "readiness": SocketAddr::new(ip, 7802),
+                    "directory": SocketAddr::new(ip, 7803), "peers": SocketAddr::new(ip, 7804),
+                },
+                "seeds": [seed], "store": relay.address(), "secret": "a secret of the soak",
+                "bounds": {"stop_grace_s": 8},
+            });
+            let name = format!(
+                "redwingdrift-soak-{}-{}-{n}.json",
+                std::process::id(),
+                block.1
+            );
+            let file = std::env::temp_dir().join(name);
+            std::fs::write(&file, settings.to_string()).unwrap();
+            let node = Node {
+                front: SocketAddr::new(ip, 7801),
+                store_relay: relay,
+                settings: file,
+                child: Mutex::new(None),
+            };
+            *node.child.lock().await = Some(node.spawn());
+            site.nodes.push(node);
+        }
+        site
+    }
+
+    pub fn is_desk(runner: usize) -> bool {
+        runner < DESKS
+    }
+
+    pub fn list_runner(&self, n: usize, state: &str) {
+        let service = if Self::is_desk(n) { "desk" } else { "model" };
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let record = server_record(service, self.relays[n].address(), state, sequence);
+        self.store
+            .put("keyed.servers", self.runners[n].name(), Some(&record));
+    }
+
+    pub fn change_config(&self) {
+        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+        let record = config_record(version, &[KEY], 1_000_000);
+        self.store.put("keyed.op", "config", Some(&record));
+    }
+
+    pub fn compact(&self) {
+        self.store.compact("keyed.op");
+        self.store.compact("keyed.servers");
+    }
+
+    /// How often runners began to work on each request.
+    pub fn runs(&self) -> HashMap<String, usize> {
+        let mut runs = HashMap::new();
+        for arrival in self
+            .runners
+            .iter()
+            .flat_map(Runner::arrivals)
+            .filter(|a| a.ran)
+        {
+            let id = arrival.header("request-id").unwrap_or_default().to_owned();
+            *runs.entry(id).or_default() += 1;
+        }
+        runs
+    }
+}
+
+impl Node {
+    fn spawn(&self) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_redwingdrift"))
+            .args(["gateway", "--settings"])
+            .arg(&self.settings)
+            .stdout(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the binary starts")
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub async fn signal(&self, name: &str) {
+        let child = self.child.lock().await;
+        if let Some(pid) = child.as_ref().and_then(Child::id) {
+            let status = Command::new("kill").args([name, &pid.to_string()]).status();
+            // It may have ended in the meantime.
+            let _ = status.await;
+        }
+    }
+
+    /// Ends the process by a signal and starts another one `pause` after its end.
+    pub async fn restart_after(&self, signal: &str, pause: Duration) {
+        let Some(mut child) = self.child.lock().await.take() else {
+            // Another fault has it in hand.
+            return;
+        };
+        if let Some(pid) = child.id() {
+            for signal in [signal, "-CONT"] {
+                let status = Command::new("kill")
+                    .args([signal, &pid.to_string()])
+                    .status();
+                // As above.
+                let _ = status.await;
+            }
+        }
+        child.wait().await.expect("a child can be waited for");
+        sleep(pause).await;
+        *self.child.lock().await = Some(self.spawn());
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // Only a leftover in the temporary folder if it fails.
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/soak/records.rs
@@ -0,0 +1,146 @@
+//! What callers saw, and the promises that it must keep.
+
+use crate::installation::{Installation, KEY};
+use rand::RngExt;
+use rand::rngs::StdRng;
+use rwd_lab::site::{Call, CallResult, EVENTS, call};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// Time after which a caller leaves: longer than any route's timeout.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    Safe,
+    Unsafe,
+    Resume,
+    Once,
+}
+
+impl Kind {
+    pub const ALL: [Self; 4] = [Self::Safe, Self::Unsafe, Self::Resume, Self::Once];
+
+    fn request(self, id: &str) -> Call {
+        match self {
+            Self::Safe => Call::new("GET", "/safe/a", id, KEY),
+            Self::Unsafe => Call::new("POST", "/unsafe/a", id, KEY),
+            Self::Resume => Call::new("POST", "/resume/a", id, KEY),
+            Self::Once => Call::new("POST", "/once/a", id, KEY),
+        }
+    }
+
+    fn whole_body(self, id: &str) -> String {
+        match self {
+            Self::Safe | Self::Unsafe => format!("answer to {id}"),
+            Self::Resume | Self::Once => {
+                let events = (1..=EVENTS).map(|n| format!("id: {n}\ndata: event {n}\n\n"));
+                events.collect()
+            }
+        }
+    }
+
+    fn may_repeat(self) -> bool {
+        matches!(self, Self::Safe | Self::Resume)
+    }
+}
+
+struct Record {
+    id: String,
+    kind: Kind,
+    /// None if the caller got no connection, or left.
+    result: Option<CallResult>,
+}
+
+#[derive(Default)]
+pub struct Records {
+    records: Mutex<Vec<Record>>,
+    next: AtomicU64,
+}
+
+impl Records {
+    /// Sends one request after the other to nodes by chance.
+    pub async fn call_until(
+        &self,
+        site: &Installation,
+        caller: u64,
+        mut rng: StdRng,
+        end: Instant,
+    ) {
+        while Instant::now() < end {
+            let node = rng.random_range(0..site.nodes.len());
+            let kind = Kind::ALL[rng.random_range(0..4)];
+            if !self.call(site, node, kind, &format!("c{caller}")).await {
+                // A refused caller does not come back at once.
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    /// Sends one request; whether it was served.
+    pub async fn call(&self, site: &Installation, node: usize, kind: Kind, who: &str) -> bool {
+        let id = format!("{who}-{}", self.next.fetch_add(1, Ordering::Relaxed));
+        let request = kind.request(&id);
+        let result = timeout(PATIENCE, call(site.nodes[node].front, &request)).await;
+        let result = result.ok().and_then(Result::ok);
+        let served = result
+            .as_ref()
+            .is_some_and(|r| r.whole && r.status.is_some_and(|s| s.is_success()));
+        let mut records = self.records.lock().unwrap_or_else(|e| e.into_inner());
+        records.push(Record { id, kind, result });
+        served
+    }
+
+    /// Checks every promise over all that was seen so far.
+    pub fn check(&self, site: &Installation, seed: u64) {
+        let records = self.records.lock().unwrap_or_else(|e| e.into_inner());
+        let all_runs = site.runs();
+        for r in records.iter() {
+            let what = format!("seed {seed}, {:?} {}", r.kind, r.id);
+            let runs = all_runs.get(&r.id).copied().unwrap_or(0);
+            assert!(r.kind.may_repeat() || runs <= 1, "{what} ran {runs} times");
+            let Some(result) = &r.result else {
+                continue;
+            };
+            let expected = r.kind.whole_body(&r.id);
+            let body = String::from_utf8_lossy(&result.body);
+            match result.status.map(|s| s.as_u16()) {
+                Some(200) if result.whole => assert_eq!(body, expected, "{what}"),
+                Some(200) => assert!(expected.starts_with(&*body), "{what}: {body}"),
+                Some(429 | 503 | 408 | 421) => {
+                    assert_eq!(runs, 0, "{what} was said not to have run")
+                }
+                Some(500 | 502 | 504) | None => (),
+                other => panic!("{what}: status {other:?} for a proper request: {body}"),
+            }
+        }
+        for runner in 0..site.runners.len() {
+            for arrival in site.runners[runner].arrivals() {
+                let for_desk =
+                    arrival.head.contains(" /safe/") || arrival.head.contains(" /unsafe/");
+                assert_eq!(
+                    for_desk,
+                    Installation::is_desk(runner),
+                    "seed {seed}: {}",
+                    arrival.head
+                );
+            }
+        }
+    }
+
+    pub fn summary(&self) -> String {
+        let records = self.records.lock().unwrap_or_else(|e| e.into_inner());
+        let of = |f: &dyn Fn(&CallResult) -> bool| {
+            let results = records.iter().filter_map(|r| r.result.as_ref());
+            results.filter(|r| f(r)).count()
+        };
+        let served = of(&|r| r.whole && r.status.is_some_and(|s| s.is_success()));
+        let refused = of(&|r| r.status.is_some_and(|s| s.as_u16() == 503));
+        format!(
+            "{} requests, {served} served, {refused} refused",
+            records.len()
+        )
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,10 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Output of a request without an estimate, as a share of the most it may be.
 const FIRST_OUTPUT_SHARE: f64 = 0.5;
+/// How the longest time that callers give is forgotten, with each request.
+const FULL_TIME_DECAY: f64 = 0.9999;
+/// Share of that time below which a difference says nothing.
+const MIN_TRIED_SHARE: f64 = 0.03;
 /// Weight of a new sample in the estimate of outputs.
 const OUTPUT_WEIGHT: f64 = 0.05;
 
@@ -62,6 +66,8 @@
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
     pub output_shares: Mutex<IndexMap<CompactString, f64>>,
+    /// The most time that callers of a route give a request, in milliseconds.
+    pub full_times: Mutex<IndexMap<CompactString, f64>>,
     pub metrics: Arc<Metrics>,
     pub in_progress: AtomicUsize,
     /// Whether the node is so close to its end that it takes no further request.
@@ -85,6 +91,8 @@
     pub pool: PoolName,
     pub rank: Rank,
     pub arrived: Moment,
+    /// When the caller is thought to have sent its first attempt.
+    pub begun: Moment,
     pub deadline: Moment,
     /// Quota units that were taken.
     pub units: f64,
@@ -194,7 +202,9 @@
             workspace: workspace.as_ref().map_or(0, |w| w.priority),
             route: route.priority,
         };
+        let tried_ms = self.tried_ms(&route, head.time_left_ms);
         Ok(Admitted {
+            begun: arrived + -tried_ms,
             head,
             route,
             workspace,
@@ -208,6 +218,21 @@
         })
     }
 
+    // Milliseconds for which the caller has been trying. One that comes back after a refusal has
+    // less time left than others, and its aim counts from its first attempt.
+    fn tried_ms(&self, route: &Route, time_left_ms: Option<f64>) -> f64 {
+        let Some(left) = time_left_ms else {
+            return 0.0;
+        };
+        let mut times = self.full_times.lock().unwrap_or_else(|e| e.into_inner());
+        let full = times.entry(route.name.clone()).or_insert(left);
+        *full = (*full * FULL_TIME_DECAY).max(left);
+        match *full - left {
+            tried if tried > *full * MIN_TRIED_SHARE => tried,
+            _ => 0.0,
+        }
+    }
+
     // The request counts against the quota of its workspace and towards the repeats of its pool.
     async fn take_units(&self, admitted: &mut Admitted) -> Result<(), Refusal> {
         self.limiter.request(&admitted.pool);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -166,6 +166,7 @@
             directory: directory.clone(),
             limiter: limiter.clone(),
             output_shares: Mutex::new(IndexMap::new()),
+            full_times: Mutex::new(IndexMap::new()),
             metrics: metrics.clone(),
             in_progress: AtomicUsize::new(0),
             is_closed: AtomicBool::new(false),
