--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -81,6 +81,8 @@
     pub exclude: Vec<TargetName>,
     /// Whether the workspace is beyond its quota, so that the request must take nobody's place.
     pub beyond_quota: bool,
+    /// Whether the caller has been refused before and came back; it has no further try.
+    pub returned: bool,
     /// Whether the request has produced a part of its answer already.
     pub resumes: bool,
 }
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -95,8 +95,8 @@
     Resumes(f64),
     /// Can still be on time: by value, then by who is late soonest.
     OnTime(Rank, f64),
-    /// Will be late: by value, then by age.
-    Late(Rank, f64),
+    /// Will be late: those that were refused before, then by value, then by age.
+    Late(bool, Rank, f64),
     /// Beyond its workspace's quota.
     Beyond(Rank, f64),
 }
@@ -111,7 +111,7 @@
             _ if aim_left > first_ms * ESTIMATE_MARGIN + self.reserve_ms() => {
                 Order::OnTime(self.offer.rank, aim_left)
             }
-            _ => Order::Late(self.offer.rank, aim_left),
+            _ => Order::Late(!self.offer.returned, self.offer.rank, aim_left),
         }
     }
 
--- a/crates/placement/tests/placement/helper.rs
+++ b/crates/placement/tests/placement/helper.rs
@@ -51,6 +51,7 @@
         zone: "z1".parse().unwrap(),
         exclude: Vec::new(),
         beyond_quota: false,
+        returned: false,
         resumes: false,
     }
 }
--- a/crates/placement/tests/placement/overload.rs
+++ b/crates/placement/tests/placement/overload.rs
@@ -203,3 +203,26 @@
     }
     assert!(expected < 2.5 * 400.0, "{expected} ms are expected");
 }
+
+/// Pattern: a long overload; of two callers that will be late, the one that was refused before has
+/// no further try.
+#[test]
+fn a_caller_that_came_back_is_not_refused_twice_while_others_are_served_late() {
+    let mut s = scheduler(vec![target("a", 1)]);
+    let running = s.offer(offer(0), at(0.0));
+    s.poll(at(0.0));
+    let late = || Offer {
+        aim_left_ms: -100.0,
+        ..offer(0)
+    };
+    for _ in 0..5 {
+        s.offer(late(), at(1.0));
+    }
+    let returned = Offer {
+        returned: true,
+        ..late()
+    };
+    let returned = s.offer(returned, at(2.0));
+    s.finish(running, complete(30.0, 0.0, 0), at(3.0));
+    assert_eq!(grants(&s.poll(at(3.0))), [returned]);
+}
