--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -78,8 +78,6 @@
     pub memory_tokens: Option<u32>,
     /// Tokens in one event of a stream.
     pub tokens_per_event: u32,
-    /// Connections that one target accepts from all callers together.
-    pub max_connections: u32,
 }
 
 /// What callers may send.
--- a/crates/gateway/src/channel.rs
+++ b/crates/gateway/src/channel.rs
@@ -11,7 +11,7 @@
 use rwd_placement::Moment;
 use socket2::SockRef;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -48,7 +48,7 @@
     /// The head of an answer.
     Answer(Response<Incoming>),
     /// The connection was closed before anything was sent.
-    NotSent,
+    ClosedBefore,
     /// The connection broke afterwards.
     Broken(hyper::Error),
 }
@@ -67,7 +67,7 @@
         match self.tx.try_send_request(req).await {
             Ok(response) => Sent::Answer(response),
             Err(mut e) => match e.take_message() {
-                Some(_) => Sent::NotSent,
+                Some(_) => Sent::ClosedBefore,
                 None => Sent::Broken(e.into_error()),
             },
         }
@@ -193,6 +193,3 @@
         reused: false,
     })
 }
-
-/// Shared connections.
-pub(crate) type SharedChannels = Arc<Channels>;
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -159,13 +159,6 @@
     Nodes,
 }
 
-/// A node of the gateway, as it announces itself in the store.
-#[derive(Clone, Debug, PartialEq)]
-pub struct NodeEntry {
-    /// Where other nodes reach it; none once it has left.
-    pub peer: Option<SocketAddr>,
-}
-
 /// One record of a feed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-use crate::channel::SharedChannels;
+use crate::channel::Channels;
 use crate::limits::Limiter;
 use crate::quota::Mark;
 use crate::refusal::Refusal;
@@ -26,9 +26,6 @@
 use crate::slots::Slots;
 use crate::{CallerHead, Catalog, Protocol, Route, Views, Workspace, clock};
 
-/// Age from which on a configuration does not show that a key or a route is unknown, as a share of
-/// the time in which a new one must be in force.
-const JUDGE_SHARE: f64 = 1.0;
 /// Part of the time in which a removed key may still be used that is kept as a margin, in
 /// milliseconds: requests travel before they are read.
 const KEY_MARGIN_MS: f64 = 500.0;
@@ -62,7 +59,7 @@
     pub zone: ZoneName,
     pub views: Arc<Views>,
     pub slots: Slots,
-    pub channels: SharedChannels,
+    pub channels: Arc<Channels>,
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
     pub output_shares: Mutex<IndexMap<CompactString, f64>>,
@@ -176,7 +173,8 @@
         let bounds = self.limiter.bounds();
         let catalog = self.views.catalog().ok_or(Refusal::Stale)?;
         let age_ms = self.views.catalog_age_ms();
-        let may_judge = age_ms < bounds.apply_ms * JUDGE_SHARE;
+        // An older configuration does not show that a key or a route is unknown.
+        let may_judge = age_ms < bounds.apply_ms;
         let unknown = |refusal| if may_judge { refusal } else { Refusal::Stale };
         let host = parts.headers.get(http::header::HOST);
         let host = host.and_then(|h| h.to_str().ok()).or(parts.uri.host());
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -337,8 +337,8 @@
             let sent = self.wait_or_switch(channel.send(req), patience, &target);
             match sent.await {
                 // The connection had been closed while it was idle: the next one is tried.
-                Some(Sent::NotSent) if channel.reused => continue,
-                Some(Sent::NotSent) => return Attempt::Unreachable,
+                Some(Sent::ClosedBefore) if channel.reused => continue,
+                Some(Sent::ClosedBefore) => return Attempt::Unreachable,
                 Some(Sent::Answer(response)) => {
                     let patience = patience.saturating_sub(elapsed(sending.sent));
                     return self.read(response, channel, patience, sending).await;
--- a/crates/lab/src/site/store.rs
+++ b/crates/lab/src/site/store.rs
@@ -45,9 +45,12 @@
     }
 }
 
+/// Value and offset of the newest record by topic and key.
+type Newest = IndexMap<(String, String), (Vec<u8>, u64)>;
+
 struct Shared {
     topics: Mutex<IndexMap<String, Topic>>,
-    newest: Mutex<IndexMap<(String, String), (Vec<u8>, u64)>>,
+    newest: Mutex<Newest>,
     changed: watch::Sender<u64>,
     fault: watch::Sender<StoreFault>,
     calls: Mutex<u64>,
