--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
@@ -34,7 +36,9 @@
 use crate::shards::{Shards, cut};
 use crate::slots::Slots;
 use crate::stop::StopPlan;
-use crate::{Bounds, GatewaySettings, Limits, Lookup, Protocol, Store, Views, follow, news};
+use crate::{
+    Bounds, GatewaySettings, Limits, Lookup, Protocol, Store, StoreError, Views, follow, news,
+};
 
 /// Membership probes: a node that is gone must be out of lookups well within their lifetime.
 const HEARTBEAT: Duration = Duration::from_millis(400);
@@ -59,6 +63,8 @@
 const MAX_ADDRESSES: usize = 64;
 /// Least nodes of a caller's own zone that are named alone.
 const MIN_NEAR: usize = 2;
+/// How long taking a node off the store's list may take; a stop has seconds.
+const UNLIST_LIMIT: Duration = Duration::from_millis(500);
 /// Time between two looks at how many nodes can be seen.
 const SHARE_PERIOD: Duration = Duration::from_millis(500);
 /// Time between two looks at the settings file and at idle connections.
@@ -90,6 +96,8 @@
     stop: watch::Sender<Stop>,
     in_progress: Arc<dyn Fn() -> usize + Send + Sync>,
     close: Arc<dyn Fn() + Send + Sync>,
+    // Takes this node's entry out of the store's list.
+    unlist: Arc<dyn Fn() -> BoxFuture<'static, Result<(), StoreError>> + Send + Sync>,
     reload: Arc<Notify>,
     _tasks: JoinSet<()>,
 }
@@ -196,6 +204,11 @@
             reads,
         };
         tasks.spawn(follower.run());
+        let (listed_in, peer) = (store.clone(), cfg.listen.peers);
+        let unlist = Arc::new(move || {
+            let store = listed_in.clone();
+            async move { store.announce(peer, false, UNLIST_LIMIT).await }.boxed()
+        });
         tasks.spawn(follow::nodes(
             store,
             cfg.clone(),
@@ -256,6 +269,7 @@
             stop,
             in_progress,
             close,
+            unlist,
             reload,
             _tasks: tasks,
         })
@@ -298,6 +312,10 @@
         self.directory.set_leaving();
         self.stop.send_replace(Stop::Leaving);
         self.tell_peers().await;
+        if let Err(e) = (self.unlist)().await {
+            // The entry stays until the address is used again; probes find out that it is empty.
+            warn!(event = "announce", error:% = e; "cannot take this node off the list");
+        }
         loop {
             if begun.elapsed() >= plan.refuse_from {
                 (self.close)();
--- a/crates/lab/src/site/store.rs
+++ b/crates/lab/src/site/store.rs
@@ -114,6 +114,13 @@
         self.shared.append(topic, key, value);
     }
 
+    /// The keys that a topic has a record of.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let newest = lock(&self.shared.newest);
+        let keys = newest.keys().filter(|(t, _)| t == topic);
+        keys.map(|(_, key)| key.clone()).collect()
+    }
+
     /// Deletes the history of a topic; the newest record of each key stays.
     pub fn compact(&self, topic: &str) {
         let mut topics = lock(&self.shared.topics);
--- a/crates/lab/tests/gateway/nodes.rs
+++ b/crates/lab/tests/gateway/nodes.rs
@@ -70,6 +70,8 @@
     let result = call(site.readiness(0), &ready).await.unwrap();
     assert_eq!(result.status.map(|s| s.as_u16()), Some(503));
     assert_eq!(addresses(&site, 1).await, [site.front(1).to_string()]);
+    let listed = site.store.keys("keyed.nodes");
+    assert_eq!(listed.len(), 1, "{listed:?}");
 }
 
 #[tokio::test]
