Serve callers that come back like new ones again

Cause: counting their aim from the first attempt put them behind all that could be on time. A refused caller has one try; being refused or late then costs it all.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -216,8 +216,9 @@
         })
     }
 
-    // Milliseconds for which the caller has been trying. One that comes back after a refusal has
-    // less time left than others, and its aim counts from its first attempt.
+    // Milliseconds for which the caller has been trying: one that comes back after a refusal has
+    // less time left than others. Its aim may have passed, but it has no further try, so it is
+    // served like a new one.
     fn tried_ms(&self, route: &Route, time_left_ms: Option<f64>) -> f64 {
         let Some(left) = time_left_ms else {
             return 0.0;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -300,7 +300,7 @@
             parts: a.head.parts.clone(),
             prompt: a.head.prompt_tokens,
             output: self.gateway.expected_output(a),
-            aim_left_ms: a.begun + a.route.aim_ms - clock::now(),
+            aim_left_ms: a.arrived + a.route.aim_ms - clock::now(),
             time_left_ms: self.left_ms(),
             home: self.gateway.instance.clone(),
             zone: self.gateway.zone.clone(),
