--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -68,9 +68,18 @@
         }
     }
 
-    // Time in which this node did not read says nothing about the store.
-    fn resume(&mut self) {
+    // Waits while another node reads; whether there was such a time. It says nothing about the
+    // store.
+    async fn await_turn(&mut self, reads: &mut watch::Receiver<bool>) -> bool {
+        if *reads.borrow() {
+            return false;
+        }
+        if reads.wait_for(|reads| *reads).await.is_err() {
+            // The node is going down.
+            std::future::pending::<()>().await;
+        }
         self.last_good = clock::now();
+        true
     }
 
     // Whether the store had been away before this answer.
@@ -104,13 +113,6 @@
     }
 }
 
-async fn await_turn(reads: &mut watch::Receiver<bool>) {
-    if reads.wait_for(|reads| *reads).await.is_err() {
-        // The node is going down.
-        std::future::pending::<()>().await;
-    }
-}
-
 /// Keeps the configuration up to date until the task is dropped.
 pub(crate) async fn configuration<S: Store>(
     store: Arc<S>,
@@ -122,9 +124,7 @@
     let mut backoff = Backoff::default();
     let mut next: Option<u64> = None;
     loop {
-        if !*reads.borrow() {
-            await_turn(&mut reads).await;
-            contact.resume();
+        if contact.await_turn(&mut reads).await {
             next = None;
         }
         // Taken before the call: what the store says was true at some time after this.
@@ -183,9 +183,7 @@
     // Entries that lapsed while the store was away get time to return.
     let mut returning_until = Moment::default();
     loop {
-        if !*reads.borrow() {
-            await_turn(&mut reads).await;
-            contact.resume();
+        if contact.await_turn(&mut reads).await {
             next = None;
         }
         let asked = clock::now();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -88,8 +88,8 @@
     pub pool: PoolName,
     pub rank: Rank,
     pub arrived: Moment,
-    /// When the caller is thought to have sent its first attempt.
-    pub begun: Moment,
+    /// Whether the caller is thought to have been refused before.
+    pub returned: bool,
     pub deadline: Moment,
     /// Quota units that were taken.
     pub units: f64,
@@ -200,9 +200,8 @@
             workspace: workspace.as_ref().map_or(0, |w| w.priority),
             route: route.priority,
         };
-        let tried_ms = self.tried_ms(&route, head.time_left_ms);
         Ok(Admitted {
-            begun: arrived + -tried_ms,
+            returned: self.has_tried(&route, head.time_left_ms),
             head,
             route,
             workspace,
@@ -216,20 +215,16 @@
         })
     }
 
-    // Milliseconds for which the caller has been trying: one that comes back after a refusal has
-    // less time left than others. Its aim may have passed, but it has no further try, so it is
-    // served like a new one.
-    fn tried_ms(&self, route: &Route, time_left_ms: Option<f64>) -> f64 {
+    // A caller that comes back after a refusal has less time left than others. Its aim may have
+    // passed, but it has no further try, so it is served like a new one.
+    fn has_tried(&self, route: &Route, time_left_ms: Option<f64>) -> bool {
         let Some(left) = time_left_ms else {
-            return 0.0;
+            return false;
         };
         let mut times = self.full_times.lock().unwrap_or_else(|e| e.into_inner());
         let full = times.entry(route.name.clone()).or_insert(left);
         *full = (*full * FULL_TIME_DECAY).max(left);
-        match *full - left {
-            tried if tried > *full * MIN_TRIED_SHARE => tried,
-            _ => 0.0,
-        }
+        *full - left > *full * MIN_TRIED_SHARE
     }
 
     // The request counts against the quota of its workspace and towards the repeats of its pool.
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -88,8 +88,8 @@
         let mut inner = self.lock();
         for workspace in catalog.workspaces() {
             inner.bank.open(&workspace.name, clock::now());
-            self.nodes(&mut inner);
         }
+        self.nodes(&mut inner);
     }
 
     /// Takes units of a workspace's quota.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -306,7 +306,7 @@
             zone: self.gateway.zone.clone(),
             exclude: self.exclude.clone(),
             beyond_quota: a.beyond_quota,
-            returned: a.begun < a.arrived,
+            returned: a.returned,
             resumes: self.sends > 0,
         }
     }
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -320,8 +320,8 @@
         let mut index = 0;
         let mut seen = 0;
         while index < self.waiting.len() && seen < WINDOW {
-            let free: u32 = self.targets.values().map(|t| t.free_slots(now)).sum();
-            if free == 0 || share.is_some_and(|s| self.is_above(s)) {
+            let has_free = self.targets.values().any(|t| t.has_free_slot(now));
+            if !has_free || share.is_some_and(|s| self.is_above(s)) {
                 break;
             }
             let offer = &self.waiting[index].offer;
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -28,15 +28,23 @@
 const FAR_ZONE_MS: f64 = 15.0;
 /// What a certain failure would cost, in milliseconds of answer time.
 const FAILURE_MS: f64 = 3000.0;
+/// Weight of a target's own failure in the share of failures.
+const FAILED_WEIGHT: f64 = 0.25;
+/// Weight of a broken connection or answer.
+const BROKEN_WEIGHT: f64 = 0.35;
+/// Weight of a target that could not be reached or kept silent.
+const AWAY_WEIGHT: f64 = 0.5;
+/// Share of the failures that is still remembered after a whole answer.
+const REMEMBERED_SHARE: f64 = 0.7;
 /// Time in which the memory of failures falls to a third, in milliseconds.
 const FAILURE_DECAY_MS: f64 = 4000.0;
 /// First pause of a target that cannot be reached, in milliseconds; it doubles with each failure.
 const FIRST_PAUSE_MS: f64 = 250.0;
+/// Longest such pause, in milliseconds.
+const MAX_PAUSE_MS: f64 = 4000.0;
 /// Nodes that fail to reach a target before it is taken to be down for all: one alone may be cut
 /// off itself.
 const WITNESSES: usize = 2;
-/// Longest such pause, in milliseconds.
-const MAX_PAUSE_MS: f64 = 4000.0;
 /// Longest time between two tries of a target that is down, in milliseconds.
 const MAX_DOWN_MS: f64 = 1000.0;
 /// How long an answer proves that a target is at work, in milliseconds.
@@ -53,15 +61,19 @@
 const DECODE_WEIGHT: f64 = 0.3;
 /// Share of its time that an answer should take at most.
 const TIME_SHARE: f64 = 0.6;
+/// How much a millisecond beyond that counts.
+const OVERRUN_WEIGHT: f64 = 2.0;
 /// Share of a target's slots that requests beyond a quota may use: streams hold their slots for
 /// long, and those within their quotas come in bursts.
 const BEYOND_SLOT_SHARE: f64 = 0.6;
-/// How much a millisecond beyond that counts.
-const OVERRUN_WEIGHT: f64 = 2.0;
 /// How much longer decoding gets from an empty to a full target, as a share.
 const FULL_BATCH_SLOWDOWN: f64 = 0.35;
 /// Prompt time that may delay the streams of one target, in milliseconds.
 const STREAM_PAUSE_MS: f64 = 300.0;
+/// How much a millisecond beyond that counts, for each request beside it.
+const DISTURBED_WEIGHT: f64 = 0.3;
+/// Most that a target's slow start counts, in milliseconds of answer time.
+const MAX_WARM_UP_MS: f64 = 1000.0;
 
 /// How much work a target takes at once.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -210,15 +222,9 @@
         self.pauses.get(home).is_some_and(|p| p.until > now)
     }
 
-    pub fn free_slots(&self, now: Moment) -> u32 {
-        match self.is_usable(now) {
-            true => self
-                .info
-                .capacity
-                .slots
-                .saturating_sub(self.in_flight.len() as u32),
-            false => 0,
-        }
+    /// Whether any work could go to the target now.
+    pub fn has_free_slot(&self, now: Moment) -> bool {
+        self.is_usable(now) && (self.in_flight.len() as u32) < self.info.capacity.slots
     }
 
     /// Milliseconds for one token of a prompt.
@@ -271,7 +277,7 @@
         let prefill = self.prefill_ms(self.uncached(offer));
         // A long prompt holds up the streams that run beside it.
         let disturbs = match prefill > STREAM_PAUSE_MS {
-            true => (prefill - STREAM_PAUSE_MS) * self.in_flight.len() as f64 * 0.3,
+            true => (prefill - STREAM_PAUSE_MS) * self.in_flight.len() as f64 * DISTURBED_WEIGHT,
             false => 0.0,
         };
         let load = self.in_flight.len() as f64 / f64::from(self.info.capacity.slots.max(1));
@@ -286,7 +292,7 @@
             + idle_share
             + self.overrun_ms(offer, now) * OVERRUN_WEIGHT
             + self.failures(now) * FAILURE_MS
-            + self.info.warm_up_ms.min(1000.0)
+            + self.info.warm_up_ms.min(MAX_WARM_UP_MS)
     }
 
     // Expected milliseconds by which the answer would come after its time; some are kept in hand
@@ -359,23 +365,23 @@
                 rest_ms,
                 output,
             } => self.learn(&done, first_ms, rest_ms, output, now),
-            Outcome::Failed => self.note_failure(0.25, now),
+            Outcome::Failed => self.note_failure(FAILED_WEIGHT, now),
             Outcome::Full => self.paused_until = now + FULL_PAUSE_MS,
             Outcome::Gone => self.paused_until = now + GONE_PAUSE_MS,
-            Outcome::Broken => self.note_failure(0.35, now),
+            Outcome::Broken => self.note_failure(BROKEN_WEIGHT, now),
             Outcome::Down => {
-                self.note_failure(0.5, now);
+                self.note_failure(AWAY_WEIGHT, now);
                 self.set_down(now);
             }
             Outcome::Unreachable | Outcome::Silent => {
-                self.note_failure(0.5, now);
+                self.note_failure(AWAY_WEIGHT, now);
                 self.pause_for(done.home, now);
             }
         }
     }
 
     fn learn(&mut self, done: &InFlight, first_ms: f64, rest_ms: f64, output: u32, now: Moment) {
-        self.failures = self.failures(now) * 0.7;
+        self.failures = self.failures(now) * REMEMBERED_SHARE;
         self.failures_at = now;
         if done.tokens == 0 {
             blend(&mut self.call_ms, first_ms + rest_ms);
