--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,17 +11,17 @@
 use rwd_metrics::Metrics;
 use rwd_peer::{
     ByteCounter, Directory, Exchange, Handler, KeepAlive, LinkSettings, Links, Membership,
-    MembershipSettings,
+    MembershipSettings, new_life,
 };
 use rwd_placement::PlacementSettings;
 use rwd_timer::Timer;
-use rwd_types::{Incarnation, InstanceName};
+use rwd_types::InstanceName;
 use rwd_wire::{Liveness, MemberUpdate, Message};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
@@ -523,15 +523,10 @@
     }
 }
 
-// A later life has a later start; the random part keeps two lives of one millisecond apart.
 fn own_news(cfg: &GatewaySettings, instance: &InstanceName) -> MemberUpdate {
-    let started = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let incarnation = (started.as_millis() as u64) << 8 | u64::from(rand::random::<u8>());
     MemberUpdate {
         name: instance.clone(),
-        incarnation: Incarnation(incarnation),
+        incarnation: new_life(),
         refutation: 0,
         liveness: Liveness::Alive,
         leaving: false,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,15 +7,16 @@
 use rwd_entry::{Api, EntryParts, EntrySettings, Home, KeyTableSettings};
 use rwd_metrics::Metrics;
 use rwd_peer::{
-    ByteCounter, Directory, KeepAlive, LinkSettings, Links, Membership, MembershipSettings, serve,
+    ByteCounter, Directory, KeepAlive, LinkSettings, Links, Membership, MembershipSettings,
+    new_life, serve,
 };
 use rwd_sched::{Baseline, Scheduler, SchedulerSettings, Topology};
 use rwd_timer::Timer;
-use rwd_types::{Incarnation, Millis, Revision, TargetName};
+use rwd_types::{Millis, Revision, TargetName};
 use rwd_wire::{Liveness, MemberUpdate};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -271,15 +272,10 @@
     }
 }
 
-// A later life has a later start; the random part keeps two lives of one millisecond apart.
 fn own_news(cfg: &Settings) -> MemberUpdate {
-    let started = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let incarnation = (started.as_millis() as u64) << 8 | u64::from(rand::random::<u8>());
     MemberUpdate {
         name: cfg.instance.clone(),
-        incarnation: Incarnation(incarnation),
+        incarnation: new_life(),
         refutation: 0,
         liveness: Liveness::Alive,
         leaving: false,
--- a/crates/peer/src/directory.rs
+++ b/crates/peer/src/directory.rs
@@ -5,7 +5,7 @@
 use rwd_wire::{Digest, Gossip, Liveness, MemberUpdate, ShardId};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -18,6 +18,16 @@
 /// How long a queue digest is believed.
 const DIGEST_LIFETIME: Duration = Duration::from_secs(10);
 
+/// The number of the life that begins now.
+///
+/// A later life has a later start; the random part keeps two lives of one millisecond apart.
+pub fn new_life() -> Incarnation {
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation((started.as_millis() as u64) << 8 | u64::from(rand::random::<u8>()))
+}
+
 /// A node as the platform's instance list shows it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListedInstance {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,7 +16,7 @@
 mod server;
 
 pub use crate::bytes_count::{ByteCounter, Counted};
-pub use crate::directory::{Directory, ListedInstance, View};
+pub use crate::directory::{Directory, ListedInstance, View, new_life};
 pub use crate::exchange::Exchange;
 pub use crate::keep_alive::KeepAlive;
 pub use crate::link::{LinkSettings, Links};
