Take what nodes spend alone off the banker's bucket

Ruled out: waiting until membership says that the banker is gone. A live but slow banker would then refuse requests within the quota. Reporting differences instead of totals: a lost or repeated message would count wrongly.

Each demand now carries how much the node has used of its own share since it started, and the banker takes the increase off its bucket. Bankers are the nodes with most processor, like schedulers; both use one ranking (`peer::rank_by_processor`).

Tests: `a_banker_that_answers_too_late_grants_nothing_twice` (594,184 units in a window of at most 496,400 without the change, within it now), `only_what_is_newly_spent_alone_is_taken_off`, `duties_go_to_nodes_with_more_processor`.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,7 +1,7 @@
 //! Asks for quota units: from what this node has leased, the workspace's banker, its own share.
 
 use log::info;
-use rwd_peer::{Directory, Error, Links, rank};
+use rwd_peer::{Directory, Error, Links, rank_by_processor};
 use rwd_types::{InstanceName, PoolName, WorkspaceName};
 use rwd_wire::Message;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -138,7 +138,8 @@
     fn banker(&self, workspace: &WorkspaceName) -> Option<InstanceName> {
         let view = self.directory.view();
         let key = xxh3_64(workspace.as_str().as_bytes());
-        rank(key, view.staying()).first().map(|m| m.name.clone())
+        let ranked = rank_by_processor(key, view.staying());
+        ranked.first().map(|m| m.name.clone())
     }
 
     fn lease(&self, workspace: &Workspace, units: f64) -> Lease {
@@ -170,6 +171,7 @@
         let demand = Message::Demand {
             workspace: workspace.name.clone(),
             units,
+            spent_alone: self.lock().purse.spent_alone(&workspace.name),
         };
         match self.links.ask(banker, &demand, BANKER_LIMIT).await? {
             Message::Leased { units, within } => {
@@ -182,11 +184,23 @@
     }
 
     /// Answers the demand of a peer.
-    pub fn answer(&self, workspace: &WorkspaceName, units: f64) -> Message {
+    pub fn answer(
+        &self,
+        from: &InstanceName,
+        workspace: &WorkspaceName,
+        units: f64,
+        spent_alone: f64,
+    ) -> Message {
         let catalog = self.views.catalog();
         let known = catalog.as_ref().and_then(|c| c.workspace_named(workspace));
         let lease = match known {
-            Some(workspace) => self.lease(workspace, units),
+            Some(workspace) => {
+                let now = clock::now();
+                self.lock()
+                    .bank
+                    .settle(&workspace.name, from, spent_alone, now);
+                self.lease(workspace, units)
+            }
             // The peer knows a newer configuration; it asks again or uses its own share.
             None => return Message::Unknown,
         };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -440,8 +440,13 @@
             }
             Message::Place { offer, .. } => self.owner.serve(*offer, ex).await,
             Message::AskNews(known) => news::answer(&self.views, known, ex).await,
-            Message::Demand { workspace, units } => {
-                ex.send_last(&self.limiter.answer(&workspace, units)).await
+            Message::Demand {
+                workspace,
+                units,
+                spent_alone,
+            } => {
+                let answer = self.limiter.answer(&from, &workspace, units, spent_alone);
+                ex.send_last(&answer).await
             }
             _ => Err(rwd_peer::Error::Unexpected),
         };
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -3,7 +3,8 @@
 //! One node, the workspace's banker, holds the bucket that all nodes draw on; it
 //! hands out small leases. A banker that sees only some of the nodes fills its
 //! bucket at their share of the rate, so that parts of a cut system stay within
-//! the quota together. A node that reaches no banker uses its own fixed share.
+//! the quota together. A node that gets no answer from its banker uses its own fixed share,
+//! and the banker takes that off its bucket as soon as it hears of it.
 
 use indexmap::IndexMap;
 use rwd_placement::Moment;
@@ -119,6 +120,8 @@
     at: Moment,
     // Units that refused callers were told to come back for.
     promised: f64,
+    // What each node has used of its own share so far, as it last said.
+    spent_alone: IndexMap<InstanceName, f64>,
 }
 
 /// How fast a bucket fills, in units a millisecond, and how much it holds.
@@ -149,9 +152,22 @@
             beyond: 0.0,
             at: now,
             promised: 0.0,
+            spent_alone: IndexMap::new(),
         }
     }
 
+    // Totals rather than differences: a message that is lost or repeated changes nothing.
+    fn settle(&mut self, node: &InstanceName, total: f64) {
+        let before = self.spent_alone.insert(node.clone(), total);
+        self.within -= match before {
+            // What it used under an earlier banker is not this one's.
+            None => 0.0,
+            // The node has restarted.
+            Some(before) if total < before => total,
+            Some(before) => total - before,
+        };
+    }
+
     fn fill(&mut self, fill: &Fill, now: Moment) {
         let ms = (now - self.at).max(0.0);
         let gained = ms * fill.rate;
@@ -224,6 +240,20 @@
         bucket.or_insert_with(|| Bucket::new(now));
     }
 
+    /// Takes in how many units a node has used of its own share since it started, because this
+    /// bank did not answer it in time.
+    pub fn settle(
+        &mut self,
+        workspace: &WorkspaceName,
+        node: &InstanceName,
+        total: f64,
+        now: Moment,
+    ) {
+        let bucket = self.buckets.entry(workspace.clone());
+        let bucket = bucket.or_insert_with(|| Bucket::new(now));
+        bucket.settle(node, total);
+    }
+
     /// Answers a demand for `units`.
     pub fn lease(
         &mut self,
@@ -268,6 +298,8 @@
 pub struct Purse {
     leased: IndexMap<WorkspaceName, Leased>,
     own: Bank,
+    // Units of the own share used since the start.
+    spent_alone: IndexMap<WorkspaceName, f64>,
 }
 
 impl Purse {
@@ -308,7 +340,16 @@
             alive: 1,
             all: nodes.all,
         };
-        self.own.lease(workspace, quota, units, alone, bounds, now)
+        let lease = self.own.lease(workspace, quota, units, alone, bounds, now);
+        if let Lease::Granted { units, .. } = lease {
+            *self.spent_alone.entry(workspace.clone()).or_default() += units;
+        }
+        lease
+    }
+
+    /// Units of the fixed share used since the start; the banker is told with each demand.
+    pub fn spent_alone(&self, workspace: &WorkspaceName) -> f64 {
+        self.spent_alone.get(workspace).copied().unwrap_or_default()
     }
 }
 
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -3,7 +3,7 @@
 use futures_util::future::select_all;
 use indexmap::IndexMap;
 use log::info;
-use rwd_peer::{Directory, Error, Exchange, Links, rank};
+use rwd_peer::{Directory, Error, Exchange, Links, rank_by_processor};
 use rwd_placement::{Moment, Offer, Outcome};
 use rwd_types::{InstanceName, TargetName};
 use rwd_wire::{MemberUpdate, Message, Placed};
@@ -222,12 +222,10 @@
         let near = |m: &&MemberUpdate| shard.zone.as_ref().is_none_or(|z| *z == m.zone);
         let usable = || view.staying().filter(|m| !avoided.contains_key(&m.name));
         let key = xxh3_64(shard.name.as_str().as_bytes());
-        let mut ranked = rank(key, usable().filter(near));
+        let mut ranked = rank_by_processor(key, usable().filter(near));
         if ranked.is_empty() {
-            ranked = rank(key, usable());
+            ranked = rank_by_processor(key, usable());
         }
-        // Scheduling takes processor time: the nodes with the most of it come first.
-        ranked.sort_by_key(|m| std::cmp::Reverse(m.cpu_milli));
         ranked.into_iter().map(|m| m.name.clone()).collect()
     }
 
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -4,7 +4,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rwd_gateway::{Bank, Bounds, Lease, Mark, Nodes, Purse, Quota, RepeatBudget, Shares, StopPlan};
 use rwd_placement::Moment;
-use rwd_types::{PoolName, WorkspaceName};
+use rwd_types::{InstanceName, PoolName, WorkspaceName};
 use std::time::Duration;
 
 const WINDOW_MS: f64 = 8000.0;
@@ -78,17 +78,83 @@
     Ok(())
 }
 
-#[test]
-fn no_window_grants_more_than_the_bound() {
+fn runner() -> TestRunner {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let cfg = Config {
         cases: 100,
         failure_persistence: None,
         ..Config::default()
     };
+    TestRunner::new_with_rng(cfg, rng)
+}
+
+#[test]
+fn no_window_grants_more_than_the_bound() {
     let demands = proptest::collection::vec((0..40_u16, 200..9_000_u32), 200..1500);
-    let mut runner = TestRunner::new_with_rng(cfg, rng);
-    runner.run(&demands, check).unwrap();
+    runner().run(&demands, check).unwrap();
+}
+
+/// Pattern: one workspace sends many times its quota and its banker, alive but short of processor,
+/// answers too late half of the time. Nodes then use their own shares while the banker goes on
+/// granting to the others.
+fn check_slow_banker(demands: Vec<(u16, u32, usize, bool)>) -> Result<(), TestCaseError> {
+    let (quota, bounds) = (quota(), bounds());
+    let names: Vec<_> = (0..6).map(|n| format!("n{n}").parse().unwrap()).collect();
+    let mut bank = Bank::default();
+    let mut purses: Vec<_> = (0..6).map(|_| Purse::default()).collect();
+    let mut grants = Vec::new();
+    let mut now = 0.0;
+    for (pause, units, node, is_late) in demands {
+        now += f64::from(pause);
+        let at = Moment(now);
+        let units = f64::from(units);
+        // A demand that was given up is never handled.
+        let lease = match is_late {
+            true => purses[node].own_share(&workspace(), &quota, units, ALL, &bounds, at),
+            false => {
+                let spent = purses[node].spent_alone(&workspace());
+                bank.settle(&workspace(), &names[node], spent, at);
+                bank.lease(&workspace(), &quota, units, ALL, &bounds, at)
+            }
+        };
+        if let Lease::Granted { units, .. } = lease {
+            grants.push((now, units));
+        }
+    }
+    let worst = worst_window(&grants);
+    // One request of each node may be larger than what is left of its share.
+    prop_assert!(worst <= most() + 10_000.0, "{worst} of {}", most());
+    Ok(())
+}
+
+#[test]
+fn a_banker_that_answers_too_late_grants_nothing_twice() {
+    let demand = (0..10_u16, 2_000..9_000_u32, 0..6_usize, any::<bool>());
+    let demands = proptest::collection::vec(demand, 1000..3000);
+    runner().run(&demands, check_slow_banker).unwrap();
+}
+
+/// Pattern: the banker restarts, then a node does; neither is taken for new use of a share.
+#[test]
+fn only_what_is_newly_spent_alone_is_taken_off() {
+    let node: InstanceName = "n1".parse().unwrap();
+    let mut bank = Bank::default();
+    bank.open(&workspace(), Moment(0.0));
+    let settle = |bank: &mut Bank, total: f64| {
+        bank.settle(&workspace(), &node, total, Moment(4000.0));
+        bank.lease(&workspace(), &quota(), 1.0, ALL, &bounds(), Moment(4000.0))
+    };
+    for (total, mark) in [
+        (900_000.0, Mark::Within),
+        (900_000.0, Mark::Within),
+        (900_010.0, Mark::Within),
+        (100.0, Mark::Within),
+        (90_000.0, Mark::Beyond),
+    ] {
+        let lease = settle(&mut bank, total);
+        let is_expected = matches!(lease, Lease::Granted { mark: m, .. } if m == mark);
+        assert!(is_expected, "{total}: {lease:?}");
+    }
 }
 
 /// Pattern: a workspace within its quota, in bursts.
--- a/crates/peer/src/rendezvous.rs
+++ b/crates/peer/src/rendezvous.rs
@@ -22,3 +22,13 @@
     ranked.sort_by_cached_key(|m| Reverse((score(key, &m.name), m.name.clone())));
     ranked
 }
+
+/// The candidates for a key, those with the most processor first, for duties that many nodes lean on.
+pub fn rank_by_processor<'a>(
+    key: u64,
+    candidates: impl Iterator<Item = &'a MemberUpdate>,
+) -> Vec<&'a MemberUpdate> {
+    let mut ranked = rank(key, candidates);
+    ranked.sort_by_key(|m| Reverse(m.cpu_milli));
+    ranked
+}
--- a/crates/peer/tests/directory.rs
+++ b/crates/peer/tests/directory.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use rwd_peer::{Directory, ListedInstance, View, rank};
+use rwd_peer::{Directory, ListedInstance, View, rank, rank_by_processor};
 use rwd_types::{Incarnation, InstanceName, Revision};
 use rwd_wire::{Gossip, Liveness, MemberUpdate};
 use std::time::Duration;
@@ -149,6 +149,26 @@
     assert!((200..380).contains(&moved), "{moved}");
 }
 
+/// Pattern: most nodes have an eighth of a core; duties that all lean on go to the larger ones.
+#[test]
+fn duties_go_to_nodes_with_more_processor() {
+    let mut members: Vec<_> = (0..7)
+        .map(|i| news(&format!("n{i}"), 1, 0, Liveness::Alive))
+        .collect();
+    members[2].cpu_milli = 500;
+    members[5].cpu_milli = 500;
+    let mut firsts = Vec::new();
+    for key in 0..100 {
+        let ranked = rank_by_processor(key, members.iter());
+        assert_eq!(ranked.len(), 7);
+        assert!(ranked[1].cpu_milli == 500 && ranked[2].cpu_milli < 500);
+        firsts.push(ranked[0].name.clone());
+    }
+    firsts.sort();
+    firsts.dedup();
+    assert_eq!(firsts.len(), 2, "one node has all duties: {firsts:?}");
+}
+
 fn update() -> impl Strategy<Value = MemberUpdate> {
     let liveness = prop_oneof![
         Just(Liveness::Alive),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -363,6 +363,8 @@
         workspace: WorkspaceName,
         /// How many.
         units: f64,
+        /// Units that the sender has used of its own share since it started.
+        spent_alone: f64,
     },
     /// Units that may be used now.
     Leased {
