Let schedulers hear how requests ended

The home sent `Release(outcome)` and dropped the exchange at once. As the scheduler's side of the stream was still open, dropping it reset the stream, and the reset overtook the message. Schedulers on other nodes never heard an outcome: no speed of decoding was learned, no failure remembered, no pause kept. `serve` had the same fault in `owner_link`.

Ruled out: pauses in `placement` (a test of the pattern passes: `a_target_that_a_home_does_not_know_is_left_alone_for_a_while`), and targets being replaced by newer entries.

`Exchange::finish` sends the last message and waits until the peer has ended its side.

--- a/crates/entry/src/owner_link.rs
+++ b/crates/entry/src/owner_link.rs
@@ -1,5 +1,6 @@
 //! The link of one request to the scheduler that owns its target.
 
+use log::debug;
 use rwd_peer::{Error, Exchange, Result};
 use rwd_types::{InstanceName, Problem};
 use rwd_wire::{Adopted, Finish, Grant, Message, Offer};
@@ -96,9 +97,13 @@
     pub async fn finish(self, finish: Finish) {
         match self {
             Self::Local(ticket) => ticket.finish(finish),
-            Self::Remote(mut ex) => {
-                // Without the report the owner frees the slot when the exchange ends.
-                let _ = ex.send_last(&Message::Finished(finish)).await;
+            Self::Remote(ex) => {
+                tokio::spawn(async move {
+                    // Without the report the owner frees the slot when the exchange ends.
+                    if let Err(e) = ex.finish(&Message::Finished(finish)).await {
+                        debug!(error:% = e; "the owner was not told how a request ended");
+                    }
+                });
             }
             Self::None => (),
         }
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -2,7 +2,7 @@
 
 use futures_util::future::select_all;
 use indexmap::IndexMap;
-use log::info;
+use log::{debug, info};
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_processor};
 use rwd_placement::{Moment, Offer, Outcome};
 use rwd_types::{InstanceName, TargetName};
@@ -74,10 +74,12 @@
     pub fn release(self, outcome: Outcome) {
         match self.holder {
             Holder::Local(ticket) => ticket.release(outcome),
-            Holder::Remote(mut ex) => {
+            Holder::Remote(ex) => {
                 tokio::spawn(async move {
                     // Without the report the scheduler frees the slot when the exchange ends.
-                    let _ = ex.send_last(&Message::Release(outcome)).await;
+                    if let Err(e) = ex.finish(&Message::Release(outcome)).await {
+                        debug!(error:% = e; "the scheduler was not told how a request ended");
+                    }
                 });
             }
         }
--- a/crates/peer/src/exchange.rs
+++ b/crates/peer/src/exchange.rs
@@ -64,6 +64,21 @@
         self.write(encode(message)?, true).await
     }
 
+    /// Sends one message, ends this side of the exchange and waits until the peer ends its own.
+    ///
+    /// An exchange that is dropped while the peer's side is open is reset, and a reset can overtake
+    /// the message.
+    ///
+    /// # Errors
+    ///
+    /// As [`Exchange::send`].
+    pub async fn finish(mut self, message: &Message) -> Result<()> {
+        self.send_last(message).await?;
+        // The peer ends its side by returning or by a reset; either way it has read the message.
+        while let Ok(Some(_)) = self.recv().await {}
+        Ok(())
+    }
+
     async fn write(&mut self, mut data: Bytes, last: bool) -> Result<()> {
         while !data.is_empty() {
             self.tx.reserve_capacity(data.len());
