Give unused quota units back, use all of the tolerated rate; old lists no longer move schedulers

Leases now hold what was asked for, lapsed units are reported with the next demand (`QuotaTotals`, running totals, so lost or repeated messages do no harm), buckets fill at the full tolerated rate and hold 0.8 of the slack instead of 0.65. Units beyond a quota that did not run are no longer used again as units within it.

The home already refuses to send to a target that it knows to be leaving, so a scheduler now goes on and asks that home for its list.

Over-quota refusals name workspace, units and wait in the log.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -250,15 +250,23 @@
             tokio::time::sleep(Duration::from_secs_f64(wait_ms / 1000.0)).await;
             taken = self.limiter.take(workspace, units).await;
         }
-        let mark = taken.map_err(|retry_after_ms| Refusal::OverQuota { retry_after_ms })?;
+        let mark = taken.map_err(|retry_after_ms| {
+            info!(event = "over_quota", request:% = admitted.head.id, workspace:% = workspace.name, units, retry_after_ms = retry_after_ms as u64; "the workspace's quota is used up");
+            Refusal::OverQuota { retry_after_ms }
+        })?;
         admitted.beyond_quota = mark == Mark::Beyond;
         admitted.units = units;
         Ok(())
     }
 
-    /// Gives back the quota units of a request that did not run.
+    /// Gives back the quota units of a request that did not run; those beyond the quota would
+    /// come back as units within it.
     pub fn put_back_units(&self, admitted: &Admitted) {
-        if let Some(workspace) = &admitted.workspace {
+        if let Some(workspace) = admitted
+            .workspace
+            .as_ref()
+            .filter(|_| !admitted.beyond_quota)
+        {
             self.limiter.put_back(&workspace.name, admitted.units);
         }
     }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -3,7 +3,7 @@
 use log::info;
 use rwd_peer::{Directory, Error, Links, rank_by_processor};
 use rwd_types::{InstanceName, PoolName, WorkspaceName};
-use rwd_wire::Message;
+use rwd_wire::{Message, QuotaTotals};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -113,19 +113,13 @@
                     self.own_share(workspace, units)
                 }
             },
-            _ => self.lease(workspace, units),
+            _ => {
+                let totals = self.totals(&workspace.name);
+                self.lease(&self.own, workspace, units, totals)
+            }
         };
         match lease {
-            Lease::Granted {
-                units: granted,
-                mark,
-            } => {
-                let mut inner = self.lock();
-                inner
-                    .purse
-                    .put(&workspace.name, granted - units, clock::now());
-                Ok(mark)
-            }
+            Lease::Granted { mark, .. } => Ok(mark),
             Lease::Exhausted { retry_after_ms } => Err(retry_after_ms),
         }
     }
@@ -142,14 +136,24 @@
         ranked.first().map(|m| m.name.clone())
     }
 
-    fn lease(&self, workspace: &Workspace, units: f64) -> Lease {
+    fn totals(&self, workspace: &WorkspaceName) -> QuotaTotals {
+        self.lock().purse.totals(workspace, clock::now())
+    }
+
+    fn lease(
+        &self,
+        node: &InstanceName,
+        workspace: &Workspace,
+        units: f64,
+        totals: QuotaTotals,
+    ) -> Lease {
         let bounds = self.bounds();
         let mut inner = self.lock();
         let nodes = self.nodes(&mut inner);
         let (name, quota) = (&workspace.name, &workspace.quota);
-        inner
-            .bank
-            .lease(name, quota, units, nodes, &bounds, clock::now())
+        let now = clock::now();
+        inner.bank.settle(name, node, totals, now);
+        inner.bank.lease(name, quota, units, nodes, &bounds, now)
     }
 
     fn own_share(&self, workspace: &Workspace, units: f64) -> Lease {
@@ -171,7 +175,7 @@
         let demand = Message::Demand {
             workspace: workspace.name.clone(),
             units,
-            spent_alone: self.lock().purse.spent_alone(&workspace.name),
+            totals: self.totals(&workspace.name),
         };
         match self.links.ask(banker, &demand, BANKER_LIMIT).await? {
             Message::Leased { units, within } => {
@@ -189,18 +193,12 @@
         from: &InstanceName,
         workspace: &WorkspaceName,
         units: f64,
-        spent_alone: f64,
+        totals: QuotaTotals,
     ) -> Message {
         let catalog = self.views.catalog();
         let known = catalog.as_ref().and_then(|c| c.workspace_named(workspace));
         let lease = match known {
-            Some(workspace) => {
-                let now = clock::now();
-                self.lock()
-                    .bank
-                    .settle(&workspace.name, from, spent_alone, now);
-                self.lease(workspace, units)
-            }
+            Some(workspace) => self.lease(from, workspace, units, totals),
             // The peer knows a newer configuration; it asks again or uses its own share.
             None => return Message::Unknown,
         };
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -44,6 +44,8 @@
     pub links: Arc<Links>,
     /// Whether this node reads the store itself.
     pub reads: watch::Sender<bool>,
+    /// A node that was seen to know a fresher list of targets.
+    pub fresher: watch::Receiver<Option<InstanceName>>,
 }
 
 impl<S: Store> Follower<S> {
@@ -110,7 +112,9 @@
 
     // The store does not answer this node; another one may reach it.
     async fn ask_anybody(&self, ranked: &[InstanceName], known: &mut Known) {
-        for name in ranked.iter().filter(|n| **n != self.own).take(2) {
+        let fresher = self.fresher.borrow().clone();
+        let others = ranked.iter().filter(|n| **n != self.own).take(2);
+        for name in fresher.iter().chain(others) {
             // A failure was counted by the link, and the next node is asked.
             if self.ask(name, known).await.is_ok() && !self.is_stale() {
                 return;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -53,8 +53,8 @@
     period: Duration::from_millis(300),
     timeout: Duration::from_millis(400),
 };
-/// Age of the list of targets from which on a node schedules for no other whose list is fresher,
-/// in milliseconds: a leaving target must be left within two seconds.
+/// Age of its list of targets from which on a scheduler asks a home with a fresher one for it, in
+/// milliseconds: a leaving target must be left within two seconds.
 const MAX_TARGETS_AGE_MS: f64 = 1700.0;
 /// Lifetime of a lookup's answer: within the longest that callers honour, short enough that a
 /// node that leaves is soon forgotten.
@@ -180,6 +180,7 @@
         let store = Arc::new(store);
         let mut tasks = JoinSet::new();
         let reads = watch::Sender::new(true);
+        let fresher = watch::Sender::new(None);
         let turn = || reads.subscribe();
         tasks.spawn(follow::configuration(
             store.clone(),
@@ -202,6 +203,7 @@
             directory: directory.clone(),
             links,
             reads,
+            fresher: fresher.subscribe(),
         };
         tasks.spawn(follower.run());
         let (listed_in, peer) = (store.clone(), cfg.listen.peers);
@@ -230,6 +232,7 @@
             owner,
             limiter,
             views: views.clone(),
+            fresher,
         });
         tasks.spawn(rwd_peer::serve(
             peers,
@@ -420,10 +423,13 @@
     owner: Arc<Owner>,
     limiter: Arc<Limiter>,
     views: Arc<Views>,
+    /// A node that was seen to know a fresher list of targets.
+    fresher: watch::Sender<Option<InstanceName>>,
 }
 
 impl PeerHandler {
-    // While the store is away all lists grow old alike, and scheduling goes on.
+    // A scheduler whose list is behind goes on: homes send nothing to targets that they know to be
+    // leaving, and a second scheduler would fill the same slots again.
     fn is_behind(&self, list_age_ms: f64) -> bool {
         let age_ms = self.views.targets_age_ms();
         age_ms > MAX_TARGETS_AGE_MS && age_ms > list_age_ms + MAX_TARGETS_AGE_MS / 2.0
@@ -434,18 +440,19 @@
     async fn handle(&self, from: InstanceName, first: Message, mut ex: Exchange) {
         let result = match first {
             Message::Ping(_) | Message::PingFor { .. } => self.membership.answer(&first, ex).await,
-            // A node that is behind the home's list of targets would send to those that leave.
-            Message::Place { list_age_ms, .. } if self.is_behind(list_age_ms) => {
-                ex.send_last(&Message::Unknown).await
+            Message::Place { offer, list_age_ms } => {
+                if self.is_behind(list_age_ms) {
+                    self.fresher.send_replace(Some(from.clone()));
+                }
+                self.owner.serve(*offer, ex).await
             }
-            Message::Place { offer, .. } => self.owner.serve(*offer, ex).await,
             Message::AskNews(known) => news::answer(&self.views, known, ex).await,
             Message::Demand {
                 workspace,
                 units,
-                spent_alone,
+                totals,
             } => {
-                let answer = self.limiter.answer(&from, &workspace, units, spent_alone);
+                let answer = self.limiter.answer(&from, &workspace, units, totals);
                 ex.send_last(&answer).await
             }
             _ => Err(rwd_peer::Error::Unexpected),
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -1,7 +1,7 @@
 //! Limits that hold for all nodes together: workspaces' quotas and the budget of repeats.
 //!
 //! One node, the workspace's banker, holds the bucket that all nodes draw on; it
-//! hands out small leases. A banker that sees only some of the nodes fills its
+//! hands out leases, request by request. A banker that sees only some of the nodes fills its
 //! bucket at their share of the rate, so that parts of a cut system stay within
 //! the quota together. A node that gets no answer from its banker uses its own fixed share,
 //! and the banker takes that off its bucket as soon as it hears of it.
@@ -9,25 +9,22 @@
 use indexmap::IndexMap;
 use rwd_placement::Moment;
 use rwd_types::{InstanceName, PoolName, WorkspaceName};
+use rwd_wire::QuotaTotals;
 use std::collections::VecDeque;
 
 use crate::{Bounds, Quota};
 
 /// Share of the slack that a bucket may hold beyond the burst; the rest covers what nodes have
 /// leased and not used, and bankers that follow one another.
-const SLACK_SHARE: f64 = 0.65;
-/// Share of the tolerated excess by which a bucket fills faster than the quota's rate, so that
-/// clocks and rounding refuse nobody who is within it.
-const EXCESS_SHARE: f64 = 0.5;
+const SLACK_SHARE: f64 = 0.8;
 /// Share of the stated repeats that is used.
 const REPEAT_SHARE: f64 = 0.8;
 /// How long a node that is gone keeps its share, in milliseconds: for as long it may in truth be
 /// cut off and serving.
 const SHARE_RETENTION_MS: f64 = 20_000.0;
-/// How long a lease may stay unused, in milliseconds.
+/// How long a node keeps the units of a request that did not run for the next one, in
+/// milliseconds.
 const LEASE_MS: f64 = 1500.0;
-/// Units leased beyond the need of one request, as a share of what the bucket holds.
-const SPARE_SHARE: f64 = 0.01;
 /// Least burst that a bucket holds, in seconds of its rate.
 const MIN_BURST_S: f64 = 0.5;
 /// Share of a full bucket at which a request larger than it passes.
@@ -120,8 +117,8 @@
     at: Moment,
     // Units that refused callers were told to come back for.
     promised: f64,
-    // What each node has used of its own share so far, as it last said.
-    spent_alone: IndexMap<InstanceName, f64>,
+    // What each node last said of its use of units.
+    totals: IndexMap<InstanceName, QuotaTotals>,
 }
 
 /// How fast a bucket fills, in units a millisecond, and how much it holds.
@@ -138,7 +135,7 @@
         Self {
             rate,
             within: quota.burst.max(quota.per_s * MIN_BURST_S) * share,
-            excess_rate: rate * EXCESS_SHARE * bounds.quota_excess,
+            excess_rate: rate * bounds.quota_excess,
             beyond: bounds.quota_slack * SLACK_SHARE * share,
         }
     }
@@ -152,20 +149,18 @@
             beyond: 0.0,
             at: now,
             promised: 0.0,
-            spent_alone: IndexMap::new(),
+            totals: IndexMap::new(),
         }
     }
 
     // Totals rather than differences: a message that is lost or repeated changes nothing.
-    fn settle(&mut self, node: &InstanceName, total: f64) {
-        let before = self.spent_alone.insert(node.clone(), total);
-        self.within -= match before {
-            // What it used under an earlier banker is not this one's.
-            None => 0.0,
-            // The node has restarted.
-            Some(before) if total < before => total,
-            Some(before) => total - before,
+    fn settle(&mut self, node: &InstanceName, totals: QuotaTotals) {
+        // What a node did under an earlier banker does not concern this one.
+        let Some(before) = self.totals.insert(node.clone(), totals) else {
+            return;
         };
+        self.within -= increase(before.spent_alone, totals.spent_alone);
+        self.within += increase(before.returned, totals.returned);
     }
 
     fn fill(&mut self, fill: &Fill, now: Moment) {
@@ -215,7 +210,7 @@
 pub enum Lease {
     /// Units that may be used now.
     Granted {
-        /// How many; at least the demand.
+        /// How many.
         units: f64,
         /// Whether they are within the quota.
         mark: Mark,
@@ -240,18 +235,17 @@
         bucket.or_insert_with(|| Bucket::new(now));
     }
 
-    /// Takes in how many units a node has used of its own share since it started, because this
-    /// bank did not answer it in time.
+    /// Takes in what a node has used without a lease, and what it leased and did not use.
     pub fn settle(
         &mut self,
         workspace: &WorkspaceName,
         node: &InstanceName,
-        total: f64,
+        totals: QuotaTotals,
         now: Moment,
     ) {
         let bucket = self.buckets.entry(workspace.clone());
         let bucket = bucket.or_insert_with(|| Bucket::new(now));
-        bucket.settle(node, total);
+        bucket.settle(node, totals);
     }
 
     /// Answers a demand for `units`.
@@ -269,18 +263,7 @@
         let fill = Fill::new(quota, nodes.visible_share(), bounds);
         bucket.fill(&fill, now);
         match bucket.take(&fill, units) {
-            Some(Mark::Within) => {
-                let spare = (bucket.within * SPARE_SHARE).max(0.0);
-                bucket.within -= spare;
-                Lease::Granted {
-                    units: units + spare,
-                    mark: Mark::Within,
-                }
-            }
-            Some(Mark::Beyond) => Lease::Granted {
-                units,
-                mark: Mark::Beyond,
-            },
+            Some(mark) => Lease::Granted { units, mark },
             None => Lease::Exhausted {
                 retry_after_ms: bucket.refuse(units, fill.rate),
             },
@@ -288,6 +271,14 @@
     }
 }
 
+// Totals grow as long as a node lives; a smaller one is that of a node that has restarted.
+fn increase(before: f64, total: f64) -> f64 {
+    match total < before {
+        true => total,
+        false => total - before,
+    }
+}
+
 struct Leased {
     units: f64,
     until: Moment,
@@ -298,8 +289,7 @@
 pub struct Purse {
     leased: IndexMap<WorkspaceName, Leased>,
     own: Bank,
-    // Units of the own share used since the start.
-    spent_alone: IndexMap<WorkspaceName, f64>,
+    totals: IndexMap<WorkspaceName, QuotaTotals>,
 }
 
 impl Purse {
@@ -314,16 +304,24 @@
         }
     }
 
-    /// Adds units of a lease, or of a request that did not run.
+    /// Adds units of a request that did not run.
     pub fn put(&mut self, workspace: &WorkspaceName, units: f64, now: Moment) {
+        self.expire(workspace, now);
         let until = now + LEASE_MS;
         let l = self.leased.entry(workspace.clone());
         let l = l.or_insert(Leased { units: 0.0, until });
-        if l.until <= now {
-            l.units = 0.0;
+        if l.units <= 0.0 {
+            l.until = until;
         }
         l.units += units;
-        l.until = until;
+    }
+
+    // What lapses goes back to the banker.
+    fn expire(&mut self, workspace: &WorkspaceName, now: Moment) {
+        if let Some(l) = self.leased.get_mut(workspace).filter(|l| l.until <= now) {
+            let lapsed = std::mem::take(&mut l.units);
+            self.totals.entry(workspace.clone()).or_default().returned += lapsed;
+        }
     }
 
     /// Answers a demand from the node's fixed share.
@@ -342,14 +340,16 @@
         };
         let lease = self.own.lease(workspace, quota, units, alone, bounds, now);
         if let Lease::Granted { units, .. } = lease {
-            *self.spent_alone.entry(workspace.clone()).or_default() += units;
+            let totals = self.totals.entry(workspace.clone()).or_default();
+            totals.spent_alone += units;
         }
         lease
     }
 
-    /// Units of the fixed share used since the start; the banker is told with each demand.
-    pub fn spent_alone(&self, workspace: &WorkspaceName) -> f64 {
-        self.spent_alone.get(workspace).copied().unwrap_or_default()
+    /// What the banker is told with each demand.
+    pub fn totals(&mut self, workspace: &WorkspaceName, now: Moment) -> QuotaTotals {
+        self.expire(workspace, now);
+        self.totals.get(workspace).copied().unwrap_or_default()
     }
 }
 
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -5,6 +5,7 @@
 use rwd_gateway::{Bank, Bounds, Lease, Mark, Nodes, Purse, Quota, RepeatBudget, Shares, StopPlan};
 use rwd_placement::Moment;
 use rwd_types::{InstanceName, PoolName, WorkspaceName};
+use rwd_wire::QuotaTotals;
 use std::time::Duration;
 
 const WINDOW_MS: f64 = 8000.0;
@@ -112,8 +113,8 @@
         let lease = match is_late {
             true => purses[node].own_share(&workspace(), &quota, units, ALL, &bounds, at),
             false => {
-                let spent = purses[node].spent_alone(&workspace());
-                bank.settle(&workspace(), &names[node], spent, at);
+                let totals = purses[node].totals(&workspace(), at);
+                bank.settle(&workspace(), &names[node], totals, at);
                 bank.lease(&workspace(), &quota, units, ALL, &bounds, at)
             }
         };
@@ -140,8 +141,12 @@
     let node: InstanceName = "n1".parse().unwrap();
     let mut bank = Bank::default();
     bank.open(&workspace(), Moment(0.0));
-    let settle = |bank: &mut Bank, total: f64| {
-        bank.settle(&workspace(), &node, total, Moment(4000.0));
+    let settle = |bank: &mut Bank, spent_alone: f64| {
+        let totals = QuotaTotals {
+            spent_alone,
+            ..QuotaTotals::default()
+        };
+        bank.settle(&workspace(), &node, totals, Moment(4000.0));
         bank.lease(&workspace(), &quota(), 1.0, ALL, &bounds(), Moment(4000.0))
     };
     for (total, mark) in [
@@ -227,6 +232,36 @@
     assert_eq!(times, [100.0, 200.0, 300.0, 400.0, 500.0]);
 }
 
+/// Pattern: an overload refuses half of what a quota allows; the workspace gets its whole quota
+/// all the same, because units of requests that did not run are used again.
+#[test]
+fn units_of_refused_requests_come_back() {
+    let names: Vec<InstanceName> = (0..60).map(|n| format!("n{n}").parse().unwrap()).collect();
+    let mut purses: Vec<_> = names.iter().map(|_| Purse::default()).collect();
+    let mut bank = Bank::default();
+    bank.open(&workspace(), Moment(0.0));
+    let mut run = 0.0;
+    for n in 0..400_usize {
+        let now = Moment(n as f64 * 50.0);
+        let (node, purse) = (&names[n % 60], &mut purses[n % 60]);
+        let totals = purse.totals(&workspace(), now);
+        bank.settle(&workspace(), node, totals, now);
+        // Twice the quota is asked for, and half of what is let in is refused later.
+        let is_in = purse.take(&workspace(), 3_600.0, now)
+            || matches!(
+                bank.lease(&workspace(), &quota(), 3_600.0, ALL, &bounds(), now),
+                Lease::Granted { .. }
+            );
+        match is_in {
+            true if n % 7 < 4 => purse.put(&workspace(), 3_600.0, now),
+            true => run += 3_600.0,
+            false => (),
+        }
+    }
+    // 20 s at the quota's rate, less what is on its way back.
+    assert!(run >= 36_000.0 * 15.0, "{run} units ran");
+}
+
 #[test]
 fn leased_units_lapse() {
     let mut purse = Purse::default();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,6 @@
 pub use crate::frame::{Error, FrameBuffer, MAX_FRAME_BYTES, Result, decode, encode};
 pub use crate::message::{
     Adopted, Digest, Finish, ForwardHead, Gossip, Grant, GrantId, Hello, Known, Liveness,
-    MemberUpdate, Message, NONCE_BYTES, News, Offer, Placed, ResponseHead, ShardId, Usage, VERSION,
-    Verdict,
+    MemberUpdate, Message, NONCE_BYTES, News, Offer, Placed, QuotaTotals, ResponseHead, ShardId,
+    Usage, VERSION, Verdict,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -253,6 +253,17 @@
     pub proven: bool,
 }
 
+/// What a node has done with a workspace's units since it started, beside using its leases.
+///
+/// Both only grow, so a message may be lost or come twice.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct QuotaTotals {
+    /// Units of its own share, used because the banker did not answer.
+    pub spent_alone: f64,
+    /// Units taken for requests that did not run.
+    pub returned: f64,
+}
+
 /// Everything that one node says to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Message {
@@ -363,8 +374,8 @@
         workspace: WorkspaceName,
         /// How many.
         units: f64,
-        /// Units that the sender has used of its own share since it started.
-        spent_alone: f64,
+        /// What else the sender has done with the workspace's units.
+        totals: QuotaTotals,
     },
     /// Units that may be used now.
     Leased {
