Read what is left of a body that is too large before refusing it

The answer was sent and the connection closed with up to 2 MB unread, which resets it; the reset can overtake the answer.

`serve` and the gateway read bodies with the same function (`edge::receive_body`).

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod http_client;
 mod instances;
 mod log_service;
+mod request_body;
 mod sse;
 mod target;
 
@@ -17,6 +18,7 @@
     HttpInstanceList, Instance, InstanceList, InstanceRole, InstanceState, Listing,
 };
 pub use crate::log_service::{Batch, HttpLog, Log, LogRecord};
+pub use crate::request_body::{BodyError, receive_body};
 pub use crate::sse::{MAX_EVENT_BYTES, SseEvent, SseParser};
 pub use crate::target::{
     Answer, CacheEvent, CacheEvents, Call, HttpTargets, LoadReport, STREAM_HEADER, Targets,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,11 +4,11 @@
 use compact_str::CompactString;
 use http::{Request, Response, request};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use log::info;
 use rand::RngExt;
+use rwd_edge::{BodyError, receive_body};
 use rwd_metrics::{Metrics, label};
 use rwd_peer::Directory;
 use rwd_placement::{Moment, Rank};
@@ -16,7 +16,6 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::time::timeout;
 
 use crate::channel::Channels;
 use crate::limits::Limiter;
@@ -134,12 +133,12 @@
     }
 
     async fn read_body(&self, body: Incoming, admitted: &Admitted) -> Result<Bytes, Refusal> {
-        let limited = Limited::new(body, admitted.catalog.limits.body_bytes);
-        match timeout(BODY_TIMEOUT, limited.collect()).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::TooLarge),
-            _ => Err(Refusal::BadRequest),
-        }
+        let most = admitted.catalog.limits.body_bytes;
+        let received = receive_body(body, most, BODY_TIMEOUT).await;
+        received.map_err(|e| match e {
+            BodyError::TooLarge => Refusal::TooLarge,
+            BodyError::Broken | BodyError::TooSlow => Refusal::BadRequest,
+        })
     }
 
     async fn admit(
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -2,12 +2,12 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, Version, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use log::{debug, warn};
+use rwd_edge::{BodyError, receive_body};
 use rwd_entry::{Api, Caller, ResponseBody, problem_response};
 use rwd_types::{Problem, ProblemKind};
 use std::convert::Infallible;
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::admin::Admin;
 use crate::node::Shared;
@@ -107,17 +107,13 @@
 }
 
 async fn receive(body: Incoming, most: usize) -> Result<Bytes, Problem> {
-    let collected = timeout(RECEIVE_TIMEOUT, Limited::new(body, most).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+    let received = receive_body(body, most, RECEIVE_TIMEOUT).await;
+    received.map_err(|e| match e {
+        BodyError::TooLarge => {
             let detail = format!("body: at most {most} bytes are accepted");
-            Err(Problem::not_run(ProblemKind::TooLarge, detail))
+            Problem::not_run(ProblemKind::TooLarge, detail)
         }
-        Ok(Err(_)) => Err(Problem::not_run(ProblemKind::BadRequest, "body: broke off")),
-        Err(_) => Err(Problem::not_run(
-            ProblemKind::BadRequest,
-            "body: took too long",
-        )),
-    }
+        BodyError::Broken => Problem::not_run(ProblemKind::BadRequest, "body: broke off"),
+        BodyError::TooSlow => Problem::not_run(ProblemKind::BadRequest, "body: took too long"),
+    })
 }
