Let successors of the reader take over before all nodes turn to the store

(1) Nodes read from their start on, though a reader answers within one question. (2) A read that brings a change confirms the view only as of its asking, up to 0.9 s before, and the next read takes 0.9 s again. (3) A follower counted the time for which its question was held as age. (4) Readers were any node, also those with 0.12 of a core. (5) Everybody became a reader when the first one failed.

Ruled out: a longer bound for stale views alone; 401 and 404 need views younger than 2 s.

Now only the first of a group reads; after it two successors, each when those before it failed; others read for themselves from 2.5 s on. Readers are the nodes with most processor, answers say how long a question was held, and the read after a change waits 0.2 s. What was followed is kept a node, so that changing the reader does not transfer the whole list.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,6 +17,9 @@
 /// How long one read of the configuration waits for a change. A key's removal binds within
 /// [`crate::Bounds::key_removal_ms`], so the view has to be confirmed several times in that time.
 const CONFIG_WAIT: Duration = Duration::from_millis(900);
+/// How long the next read waits after one that brought a change: such an answer may be as old as
+/// its whole wait, and a view must not grow older than one wait.
+const CONFIRM_WAIT: Duration = Duration::from_millis(200);
 /// Time between two reads of the registry; a leaving target must be left within two seconds.
 const TARGETS_PERIOD: Duration = Duration::from_millis(600);
 /// How long the store may take beyond the wait that was asked for.
@@ -105,8 +108,8 @@
 }
 
 // A read that waited in vain for its whole time saw the end of the log only then.
-fn true_as_of(asked: Moment, was_empty: bool) -> Moment {
-    let waited = asked + CONFIG_WAIT.as_millis() as f64;
+fn true_as_of(asked: Moment, wait: Duration, was_empty: bool) -> Moment {
+    let waited = asked + wait.as_secs_f64() * 1000.0;
     match was_empty && clock::now() >= waited {
         true => waited,
         false => asked,
@@ -123,6 +126,7 @@
     let mut contact = Contact::new(Feed::Configuration, metrics);
     let mut backoff = Backoff::default();
     let mut next: Option<u64> = None;
+    let mut wait = CONFIG_WAIT;
     loop {
         if contact.await_turn(&mut reads).await {
             next = None;
@@ -132,10 +136,8 @@
         let result = match next {
             None => store.newest(Feed::Configuration, CALL_LIMIT).await,
             Some(from) => {
-                let limit = CONFIG_WAIT + CALL_LIMIT;
-                store
-                    .read(Feed::Configuration, from, CONFIG_WAIT, limit)
-                    .await
+                let limit = wait + CALL_LIMIT;
+                store.read(Feed::Configuration, from, wait, limit).await
             }
         };
         match result {
@@ -143,7 +145,7 @@
                 contact.good(asked);
                 backoff.reset();
                 let mut readable = true;
-                let was_empty = batch.records.is_empty();
+                let was_empty = next.is_some() && batch.records.is_empty();
                 for record in batch.records {
                     match record {
                         Record::Catalog(catalog) => views.apply_catalog(*catalog),
@@ -156,8 +158,12 @@
                 }
                 next = Some(batch.next);
                 if readable && views.catalog().is_some() {
-                    views.confirm_catalog(true_as_of(asked, was_empty));
+                    views.confirm_catalog(true_as_of(asked, wait, was_empty));
                 }
+                wait = match was_empty {
+                    true => CONFIG_WAIT,
+                    false => CONFIRM_WAIT,
+                };
             }
             Err(StoreError::Gone) => next = None,
             Err(e) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 };
 pub use crate::events::{Event, EventBuffer};
 pub use crate::gateway::{Aborted, Body};
+pub use crate::news::Role;
 pub use crate::node::{GatewayNode, NodeError};
 pub use crate::quota::{Bank, Lease, Mark, Nodes, Purse, RepeatBudget, Shares};
 pub use crate::settings::{Bounds, GatewaySettings, Listen, SettingsError, instance_at};
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -2,12 +2,14 @@
 //!
 //! In each group of nodes one reads the store; the others ask it and take over
 //! what it knows with its age. The age counts from the moment of asking, so a
-//! delayed answer cannot look fresher than it is. A node whose reader is gone, or
-//! has itself lost the store, reads for itself for a while; one that cannot reach
-//! the store asks any other node.
+//! delayed answer cannot look fresher than it is. Where the reader is gone or has
+//! itself lost the store, its successors take over; other nodes read for themselves
+//! only if those fail too, because a store in trouble must not meet all nodes at
+//! once. A reader that cannot reach the store asks other nodes.
 
+use indexmap::IndexMap;
 use log::info;
-use rwd_peer::{Directory, Error, Exchange, Links, rank};
+use rwd_peer::{Directory, Error, Exchange, Links, rank_by_processor};
 use rwd_placement::Moment;
 use rwd_types::{InstanceName, ZoneName};
 use rwd_wire::{Known, MemberUpdate, Message, News};
@@ -25,8 +27,16 @@
 /// Age from which on a reader counts as having lost the store, in milliseconds: longer than its
 /// own reads take.
 const STALE_MS: f64 = 1500.0;
-/// How long a node reads for itself after its reader failed it, in milliseconds.
+/// Age from which on a node that is no successor reads for itself, in milliseconds: within the
+/// shortest time for which a removed key may still be used, with time for a retry.
+const SPARE_STALE_MS: f64 = 2500.0;
+/// Readers of a group: the first, and the successors that take over from it.
+const MAX_READERS: usize = 3;
+/// How long a node reads for itself after its readers failed it, and how long a reader that failed
+/// is passed over, in milliseconds.
 const SELF_READ_MS: f64 = 3000.0;
+/// Nodes whose changes of the list of targets are followed one by one.
+const MAX_FOLLOWED: usize = 8;
 /// Time between two looks at one's own role.
 const ROLE_PERIOD: Duration = Duration::from_millis(300);
 /// Nodes of a zone from which on it has a reader of its own.
@@ -46,38 +56,77 @@
     pub reads: watch::Sender<bool>,
     /// A node that was seen to know a fresher list of targets.
     pub fresher: watch::Receiver<Option<InstanceName>>,
+    /// What this node has from others.
+    pub known: IndexMap<InstanceName, Known>,
+}
+
+/// How a node stays up to date.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// It asks the node at this place in the order of readers.
+    Follow(usize),
+    /// It reads the store.
+    Read,
+}
+
+impl Role {
+    /// The role of the node at `position` in its group's order of readers, of which the first
+    /// `failed` could not help it lately, with a view that is `stale_ms` milliseconds old.
+    pub fn choose(position: usize, failed: usize, stale_ms: f64) -> Self {
+        let readers = position.min(MAX_READERS);
+        match position {
+            0 => Self::Read,
+            _ if failed < readers => Self::Follow(failed),
+            _ if position < MAX_READERS => Self::Read,
+            _ if stale_ms > SPARE_STALE_MS => Self::Read,
+            _ => Self::Follow(failed % readers),
+        }
+    }
 }
 
 impl<S: Store> Follower<S> {
-    /// Follows the reader, or reads, until the task is dropped.
-    pub async fn run(self) {
-        let mut known = Known::default();
-        let mut self_until = Moment::default();
+    /// Follows a reader, or reads, until the task is dropped.
+    pub async fn run(mut self) {
+        let started = clock::now();
+        let mut failed = 0;
+        let mut failed_until = Moment::default();
+        let mut read_until = Moment::default();
         loop {
-            let others = self.ranked();
-            let leads = others.first() == Some(&self.own);
-            let asked = clock::now();
-            if leads || asked < self_until {
-                self.set_reads(true);
-                if self.is_stale() {
-                    self.ask_anybody(&others, &mut known).await;
-                }
-                sleep(ROLE_PERIOD).await;
-                continue;
+            let ranked = self.ranked();
+            let position = ranked.iter().position(|n| *n == self.own).unwrap_or(0);
+            let now = clock::now();
+            if now >= failed_until {
+                failed = 0;
+                failed_until = now + SELF_READ_MS;
             }
-            let Some(reader) = others.first() else {
-                self_until = asked + SELF_READ_MS;
-                continue;
+            let role = match now < read_until {
+                true => Role::Read,
+                false => Role::choose(position, failed, self.stale_ms().min(now - started)),
+            };
+            let reader = match role {
+                Role::Follow(n) => &ranked[n],
+                Role::Read => {
+                    if position > 0 && now >= read_until {
+                        info!(event = "reading", position, stale_ms = self.stale_ms() as u64; "no reader has a fresh view");
+                        read_until = now + SELF_READ_MS;
+                    }
+                    self.set_reads(true);
+                    if self.is_stale() {
+                        self.ask_anybody(&ranked).await;
+                    }
+                    sleep(ROLE_PERIOD).await;
+                    continue;
+                }
             };
-            match self.ask(reader, &mut known).await {
+            match self.ask(reader).await {
                 Ok(()) if !self.is_stale() => self.set_reads(false),
                 Ok(()) => {
-                    info!(event = "reader_stale", reader:% = reader; "reading the store for itself");
-                    self_until = clock::now() + SELF_READ_MS;
+                    failed += 1;
+                    info!(event = "reader_stale", reader:% = reader, stale_ms = self.stale_ms() as u64; "trying another reader");
                 }
                 Err(e) => {
-                    info!(event = "reader_lost", reader:% = reader, error:% = e; "reading the store for itself");
-                    self_until = clock::now() + SELF_READ_MS;
+                    failed += 1;
+                    info!(event = "reader_lost", reader:% = reader, error:% = e; "trying another reader");
                 }
             }
         }
@@ -94,8 +143,12 @@
         });
     }
 
+    fn stale_ms(&self) -> f64 {
+        self.views.catalog_age_ms().max(self.views.targets_age_ms())
+    }
+
     fn is_stale(&self) -> bool {
-        self.views.catalog_age_ms() > STALE_MS || self.views.targets_age_ms() > STALE_MS
+        self.stale_ms() > STALE_MS
     }
 
     // The nodes of this node's group in the order in which they read for it.
@@ -104,39 +157,46 @@
         let near = |m: &&MemberUpdate| m.zone == self.zone;
         let in_zone = view.staying().filter(near).count();
         let ranked = match in_zone >= MIN_ZONE_GROUP {
-            true => rank(READER_KEY, view.staying().filter(near)),
-            false => rank(READER_KEY, view.staying()),
+            true => rank_by_processor(READER_KEY, view.staying().filter(near)),
+            false => rank_by_processor(READER_KEY, view.staying()),
         };
         ranked.into_iter().map(|m| m.name.clone()).collect()
     }
 
     // The store does not answer this node; another one may reach it.
-    async fn ask_anybody(&self, ranked: &[InstanceName], known: &mut Known) {
+    async fn ask_anybody(&mut self, ranked: &[InstanceName]) {
         let fresher = self.fresher.borrow().clone();
-        let others = ranked.iter().filter(|n| **n != self.own).take(2);
-        for name in fresher.iter().chain(others) {
+        let own = self.own.clone();
+        let others = ranked.iter().filter(|n| **n != own);
+        for name in fresher.iter().chain(others.take(MAX_READERS - 1)) {
             // A failure was counted by the link, and the next node is asked.
-            if self.ask(name, known).await.is_ok() && !self.is_stale() {
+            if self.ask(name).await.is_ok() && !self.is_stale() {
                 return;
             }
         }
     }
 
-    async fn ask(&self, name: &InstanceName, known: &mut Known) -> rwd_peer::Result<()> {
+    async fn ask(&mut self, name: &InstanceName) -> rwd_peer::Result<()> {
+        let mut known = self.known.get(name).copied().unwrap_or_default();
         known.catalog = self.views.catalog().map(|c| c.version);
         let asked = clock::now();
-        let question = Message::AskNews(*known);
+        let question = Message::AskNews(known);
         let answer = self.links.ask(name, &question, HOLD + ASK_LIMIT).await?;
         let Message::News(news) = answer else {
             return Err(Error::Unexpected);
         };
         known.epoch = news.epoch;
         known.change = news.change;
+        if self.known.len() >= MAX_FOLLOWED {
+            self.known.clear();
+        }
+        self.known.insert(name.clone(), known);
         self.apply(*news, asked);
         Ok(())
     }
 
     fn apply(&self, news: News, asked: Moment) {
+        let answered = asked + news.held_ms;
         let mut readable = true;
         if let Some(source) = news.catalog {
             match self.store.catalog(source.into()) {
@@ -148,7 +208,7 @@
             }
         }
         if let Some(age_ms) = news.catalog_age_ms.filter(|_| readable) {
-            self.views.confirm_catalog(asked + -age_ms);
+            self.views.confirm_catalog(answered + -age_ms);
         }
         let records = news.targets.into_iter();
         let records = records
@@ -161,12 +221,13 @@
             true => self.views.replace_targets(records, false),
             false => self.views.apply_targets(records, false),
         }
-        self.views.confirm_targets(asked + -age_ms);
+        self.views.confirm_targets(answered + -age_ms);
     }
 }
 
 /// Answers a follower's question, at once if there is something new.
 pub(crate) async fn answer(views: &Views, known: Known, mut ex: Exchange) -> rwd_peer::Result<()> {
+    let asked = clock::now();
     let mut changes = views.watch();
     let _ = timeout(HOLD, async {
         while !views.has_news(&known) {
@@ -176,6 +237,9 @@
         }
     })
     .await;
-    ex.send_last(&Message::News(Box::new(views.news(&known))))
-        .await
+    let news = News {
+        held_ms: clock::now() - asked,
+        ..views.news(&known)
+    };
+    ex.send_last(&Message::News(Box::new(news))).await
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -179,7 +179,7 @@
         });
         let store = Arc::new(store);
         let mut tasks = JoinSet::new();
-        let reads = watch::Sender::new(true);
+        let reads = watch::Sender::new(false);
         let fresher = watch::Sender::new(None);
         let turn = || reads.subscribe();
         tasks.spawn(follow::configuration(
@@ -204,6 +204,7 @@
             links,
             reads,
             fresher: fresher.subscribe(),
+            known: IndexMap::new(),
         };
         tasks.spawn(follower.run());
         let (listed_in, peer) = (store.clone(), cfg.listen.peers);
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -188,6 +188,7 @@
             targets_age_ms: age(inner.targets_as_of),
             epoch: self.epoch,
             change: inner.change,
+            held_ms: 0.0,
         }
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -238,6 +238,8 @@
     pub epoch: u64,
     /// The last change of the targets.
     pub change: u64,
+    /// Milliseconds for which the sender held the question until it had this answer.
+    pub held_ms: f64,
 }
 
 /// A slot that a scheduler found for an offer.
