Agree on bankers and schedulers from the list; count quota reports once; no grants on missing entries

Reports now carry the node's life, and older ones are passed over. 2. Every node opened the buckets of all workspaces at its start and filled them at the share it saw when it first leased, so a node that became banker granted again what another had granted. Buckets are now kept by bankers only and filled as time passes. 3. The list of nodes in the store now says zone and processor. Ruled out on the way: fixed shares (no "banker_lost" lines).

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, request, response};
 use rwd_placement::{PromptPart, TargetEntry};
 use rwd_types::{RegionName, TargetName, WorkspaceName, ZoneName};
+use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -159,6 +160,18 @@
     Nodes,
 }
 
+/// What a node says of itself to those that start after it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListedNode {
+    /// Its address for peers.
+    pub peer: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its processor in thousandths of a core: all nodes must agree on who has duties for others
+    /// before they have heard of one another.
+    pub cpu_milli: u32,
+}
+
 /// One record of a feed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
@@ -166,8 +179,8 @@
     Catalog(Box<Catalog>),
     /// A target's entry; none if it was removed.
     Target(TargetName, Option<TargetEntry>),
-    /// A node's peer address.
-    Node(SocketAddr),
+    /// A node of the gateway.
+    Node(ListedNode),
     /// A record that cannot be read.
     Unreadable {
         /// Its key.
@@ -209,10 +222,10 @@
     /// Reads a configuration record that another node has passed on.
     fn catalog(&self, source: Bytes) -> Record;
 
-    /// Announces this node to the others.
+    /// Puts this node on the list of nodes, or takes it off.
     fn announce(
         &self,
-        peer: SocketAddr,
+        node: &ListedNode,
         present: bool,
         limit: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,7 +12,7 @@
 
 use crate::limits::Limiter;
 use crate::settings::instance_at;
-use crate::{Feed, GatewaySettings, Record, Store, StoreError, Views, clock};
+use crate::{Feed, GatewaySettings, ListedNode, Record, Store, StoreError, Views, clock};
 
 /// How long one read of the configuration waits for a change. A key's removal binds within
 /// [`crate::Bounds::key_removal_ms`], so the view has to be confirmed several times in that time.
@@ -235,11 +235,19 @@
     let mut announced = false;
     let mut listed = false;
     let mut ticks = timer.every(NODES_PERIOD);
-    learn(&cfg, &directory, &cfg.seeds);
+    let own = cfg.listed();
+    // The settings say nothing of seeds but their address.
+    let seeds = cfg.seeds.iter().map(|peer| ListedNode {
+        peer: *peer,
+        cpu_milli: 0,
+        ..own.clone()
+    });
+    let seeds: Vec<_> = seeds.collect();
+    learn(&cfg, &directory, &seeds);
     loop {
         if !announced {
             // Before the list is read, so that nodes that start together see one another.
-            match store.announce(cfg.listen.peers, true, CALL_LIMIT).await {
+            match store.announce(&own, true, CALL_LIMIT).await {
                 Ok(()) => announced = true,
                 Err(e) => warn!(event = "announce", error:% = e; "cannot announce this node"),
             }
@@ -248,20 +256,21 @@
         if alone || !listed {
             match store.newest(Feed::Nodes, CALL_LIMIT).await {
                 Ok(batch) => {
-                    let peers = batch.records.into_iter().filter_map(|r| match r {
-                        Record::Node(peer) => Some(peer),
+                    let found = batch.records.into_iter().filter_map(|r| match r {
+                        Record::Node(node) => Some(node),
                         _ => None,
                     });
-                    let mut peers: Vec<_> = peers.collect();
-                    peers.extend(&cfg.seeds);
-                    peers.push(cfg.listen.peers);
-                    peers.sort();
-                    peers.dedup();
+                    let mut nodes: Vec<_> = found.collect();
+                    for known in seeds.iter().chain([&own]) {
+                        if nodes.iter().all(|n| n.peer != known.peer) {
+                            nodes.push(known.clone());
+                        }
+                    }
                     if !listed {
-                        limiter.set_listed(peers.len());
+                        limiter.set_listed(nodes.len());
                     }
                     listed = true;
-                    learn(&cfg, &directory, &peers);
+                    learn(&cfg, &directory, &nodes);
                 }
                 Err(StoreError::Gone) => (),
                 Err(e) => warn!(event = "nodes", error:% = e; "cannot read the list of nodes"),
@@ -271,13 +280,14 @@
     }
 }
 
-fn learn(cfg: &GatewaySettings, directory: &Directory, peers: &[SocketAddr]) {
-    let listed = peers.iter().map(|peer| ListedInstance {
-        name: instance_at(peer.ip()),
-        http: SocketAddr::new(peer.ip(), cfg.listen.requests.port()),
-        peer: *peer,
-        zone: cfg.zone.clone(),
+fn learn(cfg: &GatewaySettings, directory: &Directory, nodes: &[ListedNode]) {
+    let listed = nodes.iter().map(|node| ListedInstance {
+        name: instance_at(node.peer.ip()),
+        http: SocketAddr::new(node.peer.ip(), cfg.listen.requests.port()),
+        peer: node.peer,
+        zone: node.zone.clone(),
         leaving: false,
+        cpu_milli: node.cpu_milli,
     });
     let listed: Vec<_> = listed.collect();
     directory.apply_list(&listed);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,8 +29,8 @@
 
 pub use crate::catalog::{Catalog, Limits, Pool, Quota, Repeat, Route, Workspace};
 pub use crate::edge::{
-    AnswerHead, BadRequest, Batch, CallerHead, Feed, Lookup, Protocol, Record, Store, StoreError,
-    TargetHead,
+    AnswerHead, BadRequest, Batch, CallerHead, Feed, ListedNode, Lookup, Protocol, Record, Store,
+    StoreError, TargetHead,
 };
 pub use crate::events::{Event, EventBuffer};
 pub use crate::gateway::{Aborted, Body};
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,7 +1,8 @@
 //! Asks for quota units: from what this node has leased, the workspace's banker, its own share.
 
+use indexmap::IndexMap;
 use log::info;
-use rwd_peer::{Directory, Error, Links, rank_by_processor};
+use rwd_peer::{Directory, Error, Links, first_by_processor, new_life};
 use rwd_types::{InstanceName, PoolName, WorkspaceName};
 use rwd_wire::{Message, QuotaTotals};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -9,7 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::quota::{Bank, Lease, Mark, Nodes, Purse, RepeatBudget, Shares};
-use crate::{Bounds, Catalog, Views, Workspace, clock};
+use crate::{Bounds, Views, Workspace, clock};
 
 /// How long a banker may take to answer: some round trips between zones.
 const BANKER_LIMIT: Duration = Duration::from_millis(120);
@@ -46,7 +47,10 @@
             links,
             views,
             bounds: Mutex::new(bounds),
-            inner: Mutex::default(),
+            inner: Mutex::new(Inner {
+                purse: Purse::new(new_life()),
+                ..Inner::default()
+            }),
         }
     }
 
@@ -83,13 +87,26 @@
         self.lock().shares.set_listed(count, clock::now());
     }
 
-    /// Opens the buckets of a configuration's workspaces.
-    pub fn open(&self, catalog: &Catalog) {
+    /// Fills the buckets of the workspaces that this node is banker of; called several times a
+    /// second.
+    pub fn keep_buckets(&self) {
+        let Some(catalog) = self.views.catalog() else {
+            return;
+        };
+        let own = |w: &&Arc<Workspace>| self.banker(&w.name).as_ref() == Some(&self.own);
+        let kept: IndexMap<_, _> = catalog
+            .workspaces()
+            .filter(own)
+            .map(|w| (&w.name, w))
+            .collect();
+        let bounds = self.bounds();
         let mut inner = self.lock();
-        for workspace in catalog.workspaces() {
-            inner.bank.open(&workspace.name, clock::now());
+        let nodes = self.nodes(&mut inner);
+        let now = clock::now();
+        inner.bank.retain(|name| kept.contains_key(name));
+        for (name, workspace) in kept {
+            inner.bank.keep(name, &workspace.quota, nodes, &bounds, now);
         }
-        self.nodes(&mut inner);
     }
 
     /// Takes units of a workspace's quota.
@@ -132,8 +149,7 @@
     fn banker(&self, workspace: &WorkspaceName) -> Option<InstanceName> {
         let view = self.directory.view();
         let key = xxh3_64(workspace.as_str().as_bytes());
-        let ranked = rank_by_processor(key, view.staying());
-        ranked.first().map(|m| m.name.clone())
+        first_by_processor(key, view.staying()).map(|m| m.name.clone())
     }
 
     fn totals(&self, workspace: &WorkspaceName) -> QuotaTotals {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -207,10 +207,10 @@
             known: IndexMap::new(),
         };
         tasks.spawn(follower.run());
-        let (listed_in, peer) = (store.clone(), cfg.listen.peers);
+        let (listed_in, listed) = (store.clone(), cfg.listed());
         let unlist = Arc::new(move || {
-            let store = listed_in.clone();
-            async move { store.announce(peer, false, UNLIST_LIMIT).await }.boxed()
+            let (store, listed) = (listed_in.clone(), listed.clone());
+            async move { store.announce(&listed, false, UNLIST_LIMIT).await }.boxed()
         });
         tasks.spawn(follow::nodes(
             store,
@@ -219,12 +219,7 @@
             limiter.clone(),
             timer.clone(),
         ));
-        tasks.spawn(apply_views(
-            views.clone(),
-            owner.clone(),
-            limiter.clone(),
-            shards.clone(),
-        ));
+        tasks.spawn(apply_views(views.clone(), owner.clone(), shards.clone()));
         tasks.spawn(owner.clone().run());
         tasks.spawn(apply_share(timer.clone(), owner.clone(), limiter.clone()));
         let l = limiter.clone();
@@ -465,16 +460,10 @@
 }
 
 // Gives the scheduler the targets of each pool whenever either view changes.
-async fn apply_views(
-    views: Arc<Views>,
-    owner: Arc<Owner>,
-    limiter: Arc<Limiter>,
-    shards: Arc<Shards>,
-) {
+async fn apply_views(views: Arc<Views>, owner: Arc<Owner>, shards: Arc<Shards>) {
     let mut changes = views.watch();
     loop {
         if let Some(catalog) = views.catalog() {
-            limiter.open(&catalog);
             for (name, pool) in &catalog.pools {
                 let targets = views.targets(name);
                 let cut = cut(name, &targets);
@@ -495,12 +484,13 @@
     }
 }
 
-// Tells the scheduler when this node is cut off from most others.
+// Tells the scheduler and the limiter how many of the nodes can be seen.
 async fn apply_share(timer: Timer, owner: Arc<Owner>, limiter: Arc<Limiter>) {
     let mut ticks = timer.every(SHARE_PERIOD);
     loop {
         ticks.tick().await;
         owner.set_visible_share(limiter.visible_share());
+        limiter.keep_buckets();
     }
 }
 
@@ -546,7 +536,7 @@
         http: cfg.listen.requests,
         peer: cfg.listen.peers,
         zone: cfg.zone.clone(),
-        cpu_milli: (cfg.cpu_share * 1000.0) as u32,
+        cpu_milli: cfg.listed().cpu_milli,
     }
 }
 
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 use rwd_placement::Moment;
-use rwd_types::{InstanceName, PoolName, WorkspaceName};
+use rwd_types::{Incarnation, InstanceName, PoolName, WorkspaceName};
 use rwd_wire::QuotaTotals;
 use std::collections::VecDeque;
 
@@ -153,14 +153,23 @@
         }
     }
 
-    // Totals rather than differences: a message that is lost or repeated changes nothing.
+    // Totals rather than differences: a message that is lost, late or repeated changes nothing.
     fn settle(&mut self, node: &InstanceName, totals: QuotaTotals) {
-        // What a node did under an earlier banker does not concern this one.
-        let Some(before) = self.totals.insert(node.clone(), totals) else {
-            return;
+        let before = match self.totals.get(node) {
+            // What a node did under an earlier banker does not concern this one.
+            None => totals,
+            Some(before) if totals.life > before.life => QuotaTotals::default(),
+            Some(before) => *before,
         };
-        self.within -= increase(before.spent_alone, totals.spent_alone);
-        self.within += increase(before.returned, totals.returned);
+        let is_late = before.life > totals.life
+            || before.spent_alone > totals.spent_alone
+            || before.returned > totals.returned;
+        if is_late {
+            return;
+        }
+        self.within += totals.returned - before.returned;
+        self.within -= totals.spent_alone - before.spent_alone;
+        self.totals.insert(node.clone(), totals);
     }
 
     fn fill(&mut self, fill: &Fill, now: Moment) {
@@ -229,10 +238,27 @@
 }
 
 impl Bank {
-    /// Opens a bucket, so that it fills before the first demand.
-    pub fn open(&mut self, workspace: &WorkspaceName, now: Moment) {
+    /// Fills the bucket of a workspace that this node is banker of.
+    ///
+    /// Called all the time, so that a bucket fills before the first demand, and with the share of
+    /// the nodes that could be seen at the time.
+    pub fn keep(
+        &mut self,
+        workspace: &WorkspaceName,
+        quota: &Quota,
+        nodes: Nodes,
+        bounds: &Bounds,
+        now: Moment,
+    ) {
         let bucket = self.buckets.entry(workspace.clone());
-        bucket.or_insert_with(|| Bucket::new(now));
+        let bucket = bucket.or_insert_with(|| Bucket::new(now));
+        bucket.fill(&Fill::new(quota, nodes.visible_share(), bounds), now);
+    }
+
+    /// Drops the buckets of all other workspaces: should this node become their banker again, it
+    /// must not grant what another one has granted meanwhile.
+    pub fn retain(&mut self, mut is_kept: impl FnMut(&WorkspaceName) -> bool) {
+        self.buckets.retain(|name, _| is_kept(name));
     }
 
     /// Takes in what a node has used without a lease, and what it leased and did not use.
@@ -271,14 +297,6 @@
     }
 }
 
-// Totals grow as long as a node lives; a smaller one is that of a node that has restarted.
-fn increase(before: f64, total: f64) -> f64 {
-    match total < before {
-        true => total,
-        false => total - before,
-    }
-}
-
 struct Leased {
     units: f64,
     until: Moment,
@@ -287,12 +305,21 @@
 /// What one node has leased, and its fixed shares for when it reaches no banker.
 #[derive(Default)]
 pub struct Purse {
+    life: Incarnation,
     leased: IndexMap<WorkspaceName, Leased>,
     own: Bank,
     totals: IndexMap<WorkspaceName, QuotaTotals>,
 }
 
 impl Purse {
+    /// An empty purse of a node's life; lives of one node grow.
+    pub fn new(life: Incarnation) -> Self {
+        Self {
+            life,
+            ..Self::default()
+        }
+    }
+
     /// Takes units from what is leased already.
     pub fn take(&mut self, workspace: &WorkspaceName, units: f64, now: Moment) -> bool {
         match self.leased.get_mut(workspace) {
@@ -349,7 +376,11 @@
     /// What the banker is told with each demand.
     pub fn totals(&mut self, workspace: &WorkspaceName, now: Moment) -> QuotaTotals {
         self.expire(workspace, now);
-        self.totals.get(workspace).copied().unwrap_or_default()
+        let totals = self.totals.get(workspace).copied().unwrap_or_default();
+        QuotaTotals {
+            life: self.life,
+            ..totals
+        }
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -8,6 +8,8 @@
 use std::path::Path;
 use std::time::Duration;
 
+use crate::ListedNode;
+
 /// Settings that cannot be used.
 #[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
 #[display("{place}: {reason}")]
@@ -159,6 +161,15 @@
         }
     }
 
+    /// What the node says of itself in the list of nodes.
+    pub fn listed(&self) -> ListedNode {
+        ListedNode {
+            peer: self.listen.peers,
+            zone: self.zone.clone(),
+            cpu_milli: (self.cpu_share * 1000.0) as u32,
+        }
+    }
+
     /// The name by which nodes know this one.
     pub fn instance(&self) -> InstanceName {
         instance_at(self.listen.peers.ip())
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -155,11 +155,19 @@
         entry.is_some_and(|e| !e.leaving) && !inner.missing.contains_key(target)
     }
 
-    /// The targets of a pool.
+    /// The targets of a pool; those whose entries went missing count as leaving.
     pub fn targets(&self, pool: &PoolName) -> Vec<(TargetName, TargetEntry)> {
         let inner = self.lock();
         let of_pool = inner.targets.iter().filter(|(_, e)| e.pool == *pool);
-        of_pool.map(|(n, e)| (n.clone(), e.clone())).collect()
+        let entries = of_pool.map(|(name, entry)| {
+            let leaving = entry.leaving || inner.missing.contains_key(name);
+            let entry = TargetEntry {
+                leaving,
+                ..entry.clone()
+            };
+            (name.clone(), entry)
+        });
+        entries.collect()
     }
 
     /// Whether this node knows something that a follower with `known` lacks.
@@ -215,6 +223,7 @@
             match record {
                 Record::Target(name, Some(entry)) => changed |= self.put_target(name, entry),
                 Record::Target(name, None) => {
+                    changed |= !self.missing.contains_key(&name);
                     self.missing.entry(name).or_insert(now + grace_ms);
                 }
                 Record::Unreadable { key, reason } => {
@@ -228,10 +237,10 @@
 
     // Whether anything but the sequence changed.
     fn put_target(&mut self, name: TargetName, entry: TargetEntry) -> bool {
-        self.missing.swap_remove(&name);
+        let returned = self.missing.swap_remove(&name).is_some();
         let old = self.targets.get(&name);
         if old.is_some_and(|old| !entry.replaces(old)) {
-            return false;
+            return returned;
         }
         let changed = old.is_none_or(|old| entry.differs(old));
         if changed {
@@ -239,7 +248,7 @@
             self.note_change(&name);
         }
         self.targets.insert(name, entry);
-        changed
+        changed || returned
     }
 
     fn note_change(&mut self, name: &TargetName) {
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -4,7 +4,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rwd_gateway::{Bank, Bounds, Lease, Mark, Nodes, Purse, Quota, RepeatBudget, Shares, StopPlan};
 use rwd_placement::Moment;
-use rwd_types::{InstanceName, PoolName, WorkspaceName};
+use rwd_types::{Incarnation, InstanceName, PoolName, WorkspaceName};
 use rwd_wire::QuotaTotals;
 use std::time::Duration;
 
@@ -135,38 +135,86 @@
     runner().run(&demands, check_slow_banker).unwrap();
 }
 
-/// Pattern: the banker restarts, then a node does; neither is taken for new use of a share.
+fn totals(life: u64, spent_alone: f64, returned: f64) -> QuotaTotals {
+    QuotaTotals {
+        life: Incarnation(life),
+        spent_alone,
+        returned,
+    }
+}
+
+// What a banker has to give at once after these reports of one node.
+fn left_after(reports: &[QuotaTotals]) -> f64 {
+    let node: InstanceName = "n1".parse().unwrap();
+    let mut bank = Bank::default();
+    bank.keep(&workspace(), &quota(), ALL, &bounds(), Moment(0.0));
+    let at = Moment(4000.0);
+    for report in reports {
+        bank.settle(&workspace(), &node, *report, at);
+        // A full bucket, so that what comes in beyond it is seen.
+        bank.lease(&workspace(), &quota(), 0.0, ALL, &bounds(), at);
+    }
+    let mut left = 0.0;
+    while let Lease::Granted { units, .. } =
+        bank.lease(&workspace(), &quota(), 100.0, ALL, &bounds(), at)
+    {
+        left += units;
+    }
+    left
+}
+
+/// Pattern: a banker is new, a node restarts, and messages of one node overtake each other. Only
+/// what is new since the last report counts.
+#[test]
+fn reports_of_used_and_returned_units_count_once() {
+    let full = left_after(&[]);
+    let first = totals(1, 900_000.0, 800_000.0);
+    assert_eq!(left_after(&[first]), full, "of an earlier banker");
+    assert_eq!(left_after(&[first, first]), full, "twice");
+    let more = totals(1, 910_000.0, 800_000.0);
+    assert_eq!(left_after(&[first, more]), full - 10_000.0);
+    assert_eq!(
+        left_after(&[first, more, first]),
+        full - 10_000.0,
+        "overtaken"
+    );
+    let restarted = totals(2, 7_000.0, 1_000.0);
+    assert_eq!(left_after(&[first, restarted]), full - 6_000.0);
+    assert_eq!(
+        left_after(&[first, restarted, first]),
+        full - 6_000.0,
+        "of an earlier life"
+    );
+}
+
+/// Pattern: demands of a busy node overtake each other all the time, and much of what it leases is
+/// given back. No window grants more than the bound.
 #[test]
-fn only_what_is_newly_spent_alone_is_taken_off() {
+fn reports_out_of_order_do_not_fill_the_bucket() {
     let node: InstanceName = "n1".parse().unwrap();
     let mut bank = Bank::default();
-    bank.open(&workspace(), Moment(0.0));
-    let settle = |bank: &mut Bank, spent_alone: f64| {
-        let totals = QuotaTotals {
-            spent_alone,
-            ..QuotaTotals::default()
-        };
-        bank.settle(&workspace(), &node, totals, Moment(4000.0));
-        bank.lease(&workspace(), &quota(), 1.0, ALL, &bounds(), Moment(4000.0))
-    };
-    for (total, mark) in [
-        (900_000.0, Mark::Within),
-        (900_000.0, Mark::Within),
-        (900_010.0, Mark::Within),
-        (100.0, Mark::Within),
-        (90_000.0, Mark::Beyond),
-    ] {
-        let lease = settle(&mut bank, total);
-        let is_expected = matches!(lease, Lease::Granted { mark: m, .. } if m == mark);
-        assert!(is_expected, "{total}: {lease:?}");
+    let mut granted = Vec::new();
+    for n in 0..2000_u32 {
+        let now = f64::from(n) * 10.0;
+        // Every second report is older than the one before it.
+        let returned = f64::from(n - 3 * (n % 2).min(n / 3)) * 1_000.0;
+        let report = totals(1, 0.0, returned);
+        bank.settle(&workspace(), &node, report, Moment(now));
+        let lease = bank.lease(&workspace(), &quota(), 5_000.0, ALL, &bounds(), Moment(now));
+        if let Lease::Granted { units, .. } = lease {
+            granted.push((now, units));
+        }
     }
+    // What came back did not run, so it does not count: 1,000 units each 10 ms.
+    let worst = worst_window(&granted) - 800.0 * 1_000.0;
+    assert!(worst <= most(), "{worst} of {}", most());
 }
 
 /// Pattern: a workspace within its quota, in bursts.
 #[test]
 fn what_is_within_the_quota_is_granted_and_marked_so() {
     let mut bank = Bank::default();
-    bank.open(&workspace(), Moment(0.0));
+    bank.keep(&workspace(), &quota(), ALL, &bounds(), Moment(0.0));
     for second in 2..40 {
         for n in 0..6 {
             let now = Moment(f64::from(second) * 1000.0 + f64::from(n));
@@ -190,6 +238,27 @@
     assert!(matches!(lease, Lease::Exhausted { .. }), "{lease:?}");
 }
 
+/// Pattern: all nodes restart at once and take each other's duties over while they find each other.
+/// A bucket that was kept for a small part of the nodes has filled as slowly, and one of a node
+/// that was not banker meanwhile has not filled at all.
+#[test]
+fn a_banker_of_few_nodes_does_not_fill_for_all() {
+    let few = Nodes { alive: 1, all: 84 };
+    let mut bank = Bank::default();
+    for ms in [0.0, 500.0, 1000.0] {
+        bank.keep(&workspace(), &quota(), few, &bounds(), Moment(ms));
+    }
+    let all = Nodes { alive: 84, all: 84 };
+    let now = Moment(1000.0);
+    let lease = bank.lease(&workspace(), &quota(), 3_000.0, all, &bounds(), now);
+    assert!(matches!(lease, Lease::Exhausted { .. }), "{lease:?}");
+    bank.keep(&workspace(), &quota(), all, &bounds(), Moment(2000.0));
+    bank.retain(|_| false);
+    let now = Moment(3000.0);
+    let lease = bank.lease(&workspace(), &quota(), 3_000.0, all, &bounds(), now);
+    assert!(matches!(lease, Lease::Exhausted { .. }), "{lease:?}");
+}
+
 /// Pattern: the system is cut in two; each part sees the other as gone.
 #[test]
 fn parts_of_a_cut_system_share_the_rate() {
@@ -239,7 +308,7 @@
     let names: Vec<InstanceName> = (0..60).map(|n| format!("n{n}").parse().unwrap()).collect();
     let mut purses: Vec<_> = names.iter().map(|_| Purse::default()).collect();
     let mut bank = Bank::default();
-    bank.open(&workspace(), Moment(0.0));
+    bank.keep(&workspace(), &quota(), ALL, &bounds(), Moment(0.0));
     let mut run = 0.0;
     for n in 0..400_usize {
         let now = Moment(n as f64 * 50.0);
--- a/crates/node/src/platform_tasks.rs
+++ b/crates/node/src/platform_tasks.rs
@@ -169,6 +169,7 @@
             peer,
             zone: instance.zone.clone(),
             leaving: instance.state == InstanceState::Leaving,
+            cpu_milli: 0,
         }),
         _ => None,
     }
--- a/crates/peer/src/directory.rs
+++ b/crates/peer/src/directory.rs
@@ -41,6 +41,8 @@
     pub zone: ZoneName,
     /// Whether the list marks it as leaving.
     pub leaving: bool,
+    /// Its processor in thousandths of a core; zero if the list does not say.
+    pub cpu_milli: u32,
 }
 
 struct Member {
@@ -304,6 +306,11 @@
                 Some(m) => {
                     m.listed = true;
                     m.list_leaving = listed.leaving;
+                    // Nothing was heard of it yet, and another list may have said less.
+                    if m.news.incarnation == Incarnation(0) && m.news.cpu_milli < listed.cpu_milli {
+                        m.news.cpu_milli = listed.cpu_milli;
+                        m.news.zone = listed.zone.clone();
+                    }
                 }
                 None => {
                     fresh.push(listed.name.clone());
@@ -447,6 +454,6 @@
         http: listed.http,
         peer: listed.peer,
         zone: listed.zone.clone(),
-        cpu_milli: 0,
+        cpu_milli: listed.cpu_milli,
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -21,7 +21,7 @@
 pub use crate::keep_alive::KeepAlive;
 pub use crate::link::{LinkSettings, Links};
 pub use crate::membership::{Membership, MembershipSettings};
-pub use crate::rendezvous::{rank, rank_by_processor, score};
+pub use crate::rendezvous::{first_by_processor, rank, rank_by_processor, score};
 pub use crate::server::{Handler, serve};
 
 use derive_more::{Display, Error, From};
--- a/crates/peer/src/rendezvous.rs
+++ b/crates/peer/src/rendezvous.rs
@@ -23,6 +23,14 @@
     ranked
 }
 
+/// The first of [`rank_by_processor`], without ranking the rest.
+pub fn first_by_processor<'a>(
+    key: u64,
+    candidates: impl Iterator<Item = &'a MemberUpdate>,
+) -> Option<&'a MemberUpdate> {
+    candidates.max_by_key(|m| (m.cpu_milli, score(key, &m.name), m.name.clone()))
+}
+
 /// The candidates for a key, those with the most processor first, for duties that many nodes lean on.
 pub fn rank_by_processor<'a>(
     key: u64,
--- a/crates/peer/tests/directory.rs
+++ b/crates/peer/tests/directory.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use rwd_peer::{Directory, ListedInstance, View, rank, rank_by_processor};
+use rwd_peer::{Directory, ListedInstance, View, first_by_processor, rank, rank_by_processor};
 use rwd_types::{Incarnation, InstanceName, Revision};
 use rwd_wire::{Gossip, Liveness, MemberUpdate};
 use std::time::Duration;
@@ -94,6 +94,7 @@
         peer: "127.0.0.1:2".parse().unwrap(),
         zone: "z".parse().unwrap(),
         leaving: false,
+        cpu_milli: 0,
     };
     d.apply_list(std::slice::from_ref(&listed));
     assert_eq!(alive(&d.view()), ["a", "b"]);
@@ -117,6 +118,7 @@
         peer: "127.0.0.1:2".parse().unwrap(),
         zone: "z".parse().unwrap(),
         leaving: true,
+        cpu_milli: 0,
     };
     d.absorb(&gossip("b", vec![]));
     d.apply_list(&[listed]);
@@ -149,6 +151,36 @@
     assert!((200..380).contains(&moved), "{moved}");
 }
 
+/// Pattern: all nodes restart at once. Before they have heard of one another they agree on duties,
+/// because the list says how much processor each has.
+#[tokio::test]
+async fn nodes_that_know_only_the_list_agree_on_duties() {
+    let listed = ["a", "b", "c"].map(|name| ListedInstance {
+        name: name.parse().unwrap(),
+        http: "127.0.0.1:1".parse().unwrap(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        leaving: false,
+        cpu_milli: if name == "b" { 500 } else { 120 },
+    });
+    let mut firsts = Vec::new();
+    for own in &listed {
+        let mut own_news = news(own.name.as_str(), 1, 0, Liveness::Alive);
+        own_news.cpu_milli = own.cpu_milli;
+        let d = Directory::new(own_news);
+        // A seed is known by its address only, at first.
+        let seed = ListedInstance {
+            cpu_milli: 0,
+            ..listed[1].clone()
+        };
+        d.apply_list(&[seed]);
+        d.apply_list(&listed);
+        let view = d.view();
+        firsts.push(first_by_processor(7, view.staying()).unwrap().name.clone());
+    }
+    assert!(firsts.iter().all(|f| f.as_str() == "b"), "{firsts:?}");
+}
+
 /// Pattern: most nodes have an eighth of a core; duties that all lean on go to the larger ones.
 #[test]
 fn duties_go_to_nodes_with_more_processor() {
@@ -162,6 +194,8 @@
         let ranked = rank_by_processor(key, members.iter());
         assert_eq!(ranked.len(), 7);
         assert!(ranked[1].cpu_milli == 500 && ranked[2].cpu_milli < 500);
+        let first = first_by_processor(key, members.iter()).unwrap();
+        assert_eq!(first.name, ranked[0].name);
         firsts.push(ranked[0].name.clone());
     }
     firsts.sort();
--- a/crates/peer/tests/last_words.rs
+++ b/crates/peer/tests/last_words.rs
@@ -60,6 +60,7 @@
         peer: address,
         zone: "z".parse().unwrap(),
         leaving: false,
+        cpu_milli: 0,
     }]);
     let cfg = LinkSettings {
         own: "a".parse().unwrap(),
--- a/crates/peer/tests/strangers.rs
+++ b/crates/peer/tests/strangers.rs
@@ -64,6 +64,7 @@
         peer: to,
         zone: "z".parse().unwrap(),
         leaving: false,
+        cpu_milli: 0,
     }]);
     let cfg = LinkSettings {
         own: "a".parse().unwrap(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -257,9 +257,11 @@
 
 /// What a node has done with a workspace's units since it started, beside using its leases.
 ///
-/// Both only grow, so a message may be lost or come twice.
+/// Both sums only grow, so a message may be lost, late, or come twice.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct QuotaTotals {
+    /// The node's life, in which the sums began at zero.
+    pub life: Incarnation,
     /// Units of its own share, used because the banker did not answer.
     pub spent_alone: f64,
     /// Units taken for requests that did not run.
