Pass over lists of targets that are older than the node's own

Cause, found in reading the change of readers: a node that turns from one reader to another took over the other's list even where it was older, so a target that had left came back (and could get work beyond `drain_ms`), and a new one went missing until it changed again. Changes of several sources were also mixed.

`Views::apply_news` compares the times at which the lists were known to be true; what is passed over is asked for again as a whole. One source at a time is followed change by change. Test: `an_older_list_of_a_peer_changes_nothing`. The version of the messages between nodes is now 3.

--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -7,7 +7,6 @@
 //! only if those fail too, because a store in trouble must not meet all nodes at
 //! once. A reader that cannot reach the store asks other nodes.
 
-use indexmap::IndexMap;
 use log::info;
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_processor};
 use rwd_placement::Moment;
@@ -35,8 +34,6 @@
 /// How long a node reads for itself after its readers failed it, and how long a reader that failed
 /// is passed over, in milliseconds.
 const SELF_READ_MS: f64 = 3000.0;
-/// Nodes whose changes of the list of targets are followed one by one.
-const MAX_FOLLOWED: usize = 8;
 /// Time between two looks at one's own role.
 const ROLE_PERIOD: Duration = Duration::from_millis(300);
 /// Nodes of a zone from which on it has a reader of its own.
@@ -56,8 +53,8 @@
     pub reads: watch::Sender<bool>,
     /// A node that was seen to know a fresher list of targets.
     pub fresher: watch::Receiver<Option<InstanceName>>,
-    /// What this node has from others.
-    pub known: IndexMap<InstanceName, Known>,
+    /// What this node has from the one that it asked last.
+    pub known: Known,
 }
 
 /// How a node stays up to date.
@@ -177,25 +174,29 @@
     }
 
     async fn ask(&mut self, name: &InstanceName) -> rwd_peer::Result<()> {
-        let mut known = self.known.get(name).copied().unwrap_or_default();
-        known.catalog = self.views.catalog().map(|c| c.version);
+        self.known.catalog = self.views.catalog().map(|c| c.version);
         let asked = clock::now();
-        let question = Message::AskNews(known);
+        let question = Message::AskNews(self.known);
         let answer = self.links.ask(name, &question, HOLD + ASK_LIMIT).await?;
         let Message::News(news) = answer else {
             return Err(Error::Unexpected);
         };
-        known.epoch = news.epoch;
-        known.change = news.change;
-        if self.known.len() >= MAX_FOLLOWED {
-            self.known.clear();
-        }
-        self.known.insert(name.clone(), known);
-        self.apply(*news, asked);
+        let (epoch, change) = (news.epoch, news.change);
+        let was_taken = self.apply(*news, asked);
+        self.known = match was_taken {
+            true => Known {
+                epoch,
+                change,
+                ..self.known
+            },
+            // What was passed over is sent again with the whole list.
+            false => Known::default(),
+        };
         Ok(())
     }
 
-    fn apply(&self, news: News, asked: Moment) {
+    // Whether the part about targets was taken.
+    fn apply(&self, news: News, asked: Moment) -> bool {
         let answered = asked + news.held_ms;
         let mut readable = true;
         if let Some(source) = news.catalog {
@@ -214,14 +215,8 @@
         let records = records
             .map(|(name, entry)| Record::Target(name, entry))
             .collect();
-        let Some(age_ms) = news.targets_age_ms else {
-            return;
-        };
-        match news.whole {
-            true => self.views.replace_targets(records, false),
-            false => self.views.apply_targets(records, false),
-        }
-        self.views.confirm_targets(answered + -age_ms);
+        let as_of = news.targets_age_ms.map(|age_ms| answered + -age_ms);
+        as_of.is_some_and(|t| self.views.apply_news(records, news.whole, t))
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,7 +16,7 @@
 use rwd_placement::PlacementSettings;
 use rwd_timer::Timer;
 use rwd_types::InstanceName;
-use rwd_wire::{Liveness, MemberUpdate, Message};
+use rwd_wire::{Known, Liveness, MemberUpdate, Message};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -204,7 +204,7 @@
             links,
             reads,
             fresher: fresher.subscribe(),
-            known: IndexMap::new(),
+            known: Known::default(),
         };
         tasks.spawn(follower.run());
         let (listed_in, listed) = (store.clone(), cfg.listed());
--- a/crates/gateway/src/views.rs
+++ b/crates/gateway/src/views.rs
@@ -148,6 +148,22 @@
         }
     }
 
+    /// Takes in what a peer knew of the targets at `as_of`: the `whole` list, or changes of it.
+    ///
+    /// Whether it was taken: an older list than this node's own would bring back what has left.
+    pub fn apply_news(&self, records: Vec<Record>, whole: bool, as_of: Moment) -> bool {
+        let own = self.lock().targets_as_of;
+        if own.is_some_and(|own| own > as_of) {
+            return false;
+        }
+        match whole {
+            true => self.replace_targets(records, false),
+            false => self.apply_targets(records, false),
+        }
+        self.confirm_targets(as_of);
+        true
+    }
+
     /// Whether a target may get work, as far as this node knows.
     pub fn is_staying(&self, target: &TargetName) -> bool {
         let inner = self.lock();
--- a/crates/gateway/tests/views.rs
+++ b/crates/gateway/tests/views.rs
@@ -1,7 +1,7 @@
 //! What a node believes of the targets.
 
 use rwd_gateway::{Record, Views};
-use rwd_placement::TargetEntry;
+use rwd_placement::{Moment, TargetEntry};
 use rwd_types::{PoolName, TargetName};
 
 fn pool() -> PoolName {
@@ -43,3 +43,29 @@
     assert!(!leaving() && views.is_staying(&name()));
     assert!(changes.has_changed().unwrap(), "schedulers are not told");
 }
+
+/// Pattern: the store turns away the reader that a node turns to next. Its list still has a target
+/// that is gone, and lacks one that is new.
+#[test]
+fn an_older_list_of_a_peer_changes_nothing() {
+    let views = Views::default();
+    let list = |names: &[&str]| {
+        let records = names.iter().map(|n| {
+            let name = n.parse().unwrap();
+            Record::Target(name, Some(entry()))
+        });
+        records.collect::<Vec<_>>()
+    };
+    let names = || {
+        let listed = views.targets(&pool()).into_iter();
+        let mut names: Vec<_> = listed.map(|(n, _)| n.to_string()).collect();
+        names.sort();
+        names
+    };
+    assert!(views.apply_news(list(&["kept", "new"]), true, Moment(2000.0)));
+    assert!(!views.apply_news(list(&["kept", "gone"]), true, Moment(1000.0)));
+    assert!(!views.apply_news(list(&["gone"]), false, Moment(1000.0)));
+    assert_eq!(names(), ["kept", "new"]);
+    assert!(views.apply_news(list(&["newer"]), false, Moment(2500.0)));
+    assert_eq!(names(), ["kept", "new", "newer"]);
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 /// The version of the messages; nodes of different versions do not talk.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 /// Bytes of the random number in a handshake.
 pub const NONCE_BYTES: usize = 16;
 
