--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -12,8 +12,9 @@
 
 /// Targets up to which a pool is one shard: one node can schedule that many.
 const WHOLE_POOL: usize = 40;
-/// Most targets of a shard of a larger pool.
-const SHARD_TARGETS: usize = 48;
+/// Most targets of a shard of a larger pool: a zone of 47 whose targets are replaced a third at a
+/// time is not cut anew, which would make its schedulers forget what they have learned.
+const SHARD_TARGETS: usize = 64;
 
 /// A part of a pool that one node schedules.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
--- a/crates/gateway/tests/views.rs
+++ b/crates/gateway/tests/views.rs
@@ -1,6 +1,6 @@
 //! What a node believes of the targets.
 
-use rwd_gateway::{Record, Views};
+use rwd_gateway::{Record, Views, cut};
 use rwd_placement::{Moment, TargetEntry};
 use rwd_types::{PoolName, TargetName};
 
@@ -69,3 +69,14 @@
     assert!(views.apply_news(list(&["newer"]), false, Moment(2500.0)));
     assert_eq!(names(), ["kept", "new", "newer"]);
 }
+
+/// Pattern: a third of a zone's targets restart under new names while the old entries are listed.
+#[test]
+fn replaced_targets_do_not_cut_a_pool_anew() {
+    let listed = |count: usize| {
+        let targets = (0..count).map(|n| (format!("t{n}").parse().unwrap(), entry()));
+        let targets: Vec<(TargetName, TargetEntry)> = targets.collect();
+        cut(&pool(), &targets).keys().cloned().collect::<Vec<_>>()
+    };
+    assert_eq!(listed(47), listed(47 + 16));
+}
