--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -12,9 +12,11 @@
 
 /// Targets up to which a pool is one shard: one node can schedule that many.
 const WHOLE_POOL: usize = 40;
-/// Most targets of a shard of a larger pool: a zone of 47 whose targets are replaced a third at a
-/// time is not cut anew, which would make its schedulers forget what they have learned.
-const SHARD_TARGETS: usize = 64;
+/// Targets of a zone up to which they are one shard. A zone of 47 whose targets are replaced a third
+/// at a time is not cut anew, which would make its schedulers forget what they have learned.
+const WHOLE_ZONE: usize = 64;
+/// Targets of a shard of a larger zone.
+const SHARD_TARGETS: usize = 48;
 
 /// A part of a pool that one node schedules.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -44,7 +46,10 @@
     zones.sort_unstable_keys();
     let mut shards: IndexMap<Shard, Vec<_>> = IndexMap::new();
     for (zone, targets) in zones {
-        let count = targets.len().div_ceil(SHARD_TARGETS) as u64;
+        let count = match targets.len() {
+            ..=WHOLE_ZONE => 1,
+            n => n.div_ceil(SHARD_TARGETS) as u64,
+        };
         for target in targets {
             let index = xxh3_64(target.0.as_str().as_bytes()) % count;
             let shard = named(pool, zone, index).unwrap_or_else(|| whole.clone());
