Count a kind's slot time from its first known sample

Found in reading: the first offer of each kind was counted before any speed was known, so its mean began at zero and needed some hundred offers to reach the truth; after a scheduler's start kinds were ordered by how often they came. `Place` says what `Worth` held.

--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -102,12 +102,12 @@
 enum Order {
     /// A stream that broke and goes on: its caller waits in the middle of an answer.
     Resumes(f64),
-    /// Can still be on time: by worth, then by who is late soonest.
-    OnTime(Worth, f64),
-    /// Will be late: those that were refused before, then by worth, then by age.
-    Late(bool, Worth, f64),
+    /// Can still be on time: by place, then by who is late soonest.
+    OnTime(Place, f64),
+    /// Will be late: those that were refused before, then by place, then by age.
+    Late(bool, Place, f64),
     /// Beyond its workspace's quota.
-    Beyond(Worth, f64),
+    Beyond(Place, f64),
 }
 
 /// The place of a kind of request in the order of service; the least goes first.
@@ -117,22 +117,22 @@
 /// of the time is not starved by one that is worth twice as much. The time is the mean of the
 /// kind, so that its long requests wait no longer than its short ones.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-struct Worth {
+struct Place {
     workspace: u8,
     slot_ms_per_value: f64,
 }
 
 impl Waiting {
     // `first_ms` is what the pool's targets need for a prompt of this length.
-    fn order(&self, now: Moment, first_ms: f64, worth: Worth) -> Order {
+    fn order(&self, now: Moment, first_ms: f64, place: Place) -> Order {
         let aim_left = self.offer.aim_left_ms - (now - self.since);
         match () {
             _ if self.offer.resumes => Order::Resumes(aim_left),
-            _ if self.offer.beyond_quota => Order::Beyond(worth, aim_left),
+            _ if self.offer.beyond_quota => Order::Beyond(place, aim_left),
             _ if aim_left > first_ms * ESTIMATE_MARGIN + self.reserve_ms() => {
-                Order::OnTime(worth, aim_left)
+                Order::OnTime(place, aim_left)
             }
-            _ => Order::Late(!self.offer.returned, worth, aim_left),
+            _ => Order::Late(!self.offer.returned, place, aim_left),
         }
     }
 
@@ -341,15 +341,17 @@
         } = self.speed;
         let sample =
             f64::from(offer.prompt) * prefill_ms_per_token + f64::from(offer.output) * step_ms;
+        // Plain calls take much the same time each, and no speed is known before the first poll.
+        if sample <= 0.0 {
+            return;
+        }
         let mean = self.slot_ms.entry(offer.rank.route).or_insert(sample);
         *mean += KIND_WEIGHT * (sample - *mean);
     }
 
-    fn worth(&self, rank: Rank, cfg: &PlacementSettings) -> Worth {
-        // Plain calls take much the same time each, and so do kinds that were never seen.
-        let slot_ms = self.slot_ms.get(&rank.route).copied();
-        let slot_ms = slot_ms.filter(|ms| *ms > 0.0).unwrap_or(1.0);
-        Worth {
+    fn place(&self, rank: Rank, cfg: &PlacementSettings) -> Place {
+        let slot_ms = self.slot_ms.get(&rank.route).copied().unwrap_or(1.0);
+        Place {
             workspace: rank.workspace,
             slot_ms_per_value: slot_ms * cfg.priority_factor.powi(i32::from(rank.route)),
         }
@@ -364,8 +366,8 @@
         let per_token = self.speed.prefill_ms_per_token;
         let mut waiting = std::mem::take(&mut self.waiting);
         for w in &mut waiting {
-            let worth = self.worth(w.offer.rank, cfg);
-            w.order = w.order(now, f64::from(w.offer.prompt) * per_token, worth);
+            let place = self.place(w.offer.rank, cfg);
+            w.order = w.order(now, f64::from(w.offer.prompt) * per_token, place);
         }
         self.waiting = waiting;
         self.waiting.sort_by(|a, b| {
