--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -238,6 +238,11 @@
 }
 
 impl Bank {
+    fn bucket(&mut self, workspace: &WorkspaceName, now: Moment) -> &mut Bucket {
+        let bucket = self.buckets.entry(workspace.clone());
+        bucket.or_insert_with(|| Bucket::new(now))
+    }
+
     /// Fills the bucket of a workspace that this node is banker of.
     ///
     /// Called all the time, so that a bucket fills before the first demand, and with the share of
@@ -250,8 +255,7 @@
         bounds: &Bounds,
         now: Moment,
     ) {
-        let bucket = self.buckets.entry(workspace.clone());
-        let bucket = bucket.or_insert_with(|| Bucket::new(now));
+        let bucket = self.bucket(workspace, now);
         bucket.fill(&Fill::new(quota, nodes.visible_share(), bounds), now);
     }
 
@@ -269,8 +273,7 @@
         totals: QuotaTotals,
         now: Moment,
     ) {
-        let bucket = self.buckets.entry(workspace.clone());
-        let bucket = bucket.or_insert_with(|| Bucket::new(now));
+        let bucket = self.bucket(workspace, now);
         bucket.settle(node, totals);
     }
 
@@ -284,8 +287,7 @@
         bounds: &Bounds,
         now: Moment,
     ) -> Lease {
-        let bucket = self.buckets.entry(workspace.clone());
-        let bucket = bucket.or_insert_with(|| Bucket::new(now));
+        let bucket = self.bucket(workspace, now);
         let fill = Fill::new(quota, nodes.visible_share(), bounds);
         bucket.fill(&fill, now);
         match bucket.take(&fill, units) {
--- a/crates/peer/tests/strangers.rs
+++ b/crates/peer/tests/strangers.rs
@@ -1,24 +1,17 @@
 //! Whoever does not know the shared secret gets nothing from the peer port.
 
-use rwd_peer::{
-    ByteCounter, Directory, Exchange, Handler, KeepAlive, LinkSettings, Links, ListedInstance,
-    serve,
-};
-use rwd_types::{Incarnation, InstanceName, Secret};
-use rwd_wire::{Liveness, MemberUpdate, Message};
+mod helper;
+
+use helper::{LIMIT, links, listen};
+use rwd_peer::{Exchange, Handler, Links};
+use rwd_types::InstanceName;
+use rwd_wire::Message;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-const LIMIT: Duration = Duration::from_secs(20);
-const KEEP_ALIVE: KeepAlive = KeepAlive {
-    period: LIMIT,
-    timeout: LIMIT,
-};
-
 #[derive(Default)]
 struct Echo {
     handled: AtomicU64,
@@ -32,47 +25,8 @@
 }
 
 async fn server(secret: &str) -> (SocketAddr, Arc<Echo>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
     let echo = Arc::new(Echo::default());
-    tokio::spawn(serve(
-        listener,
-        Secret::new(secret),
-        ByteCounter::default(),
-        KEEP_ALIVE,
-        echo.clone(),
-    ));
-    (address, echo)
-}
-
-fn links(secret: &str, to: SocketAddr) -> Links {
-    let own = MemberUpdate {
-        name: "a".parse().unwrap(),
-        incarnation: Incarnation(1),
-        refutation: 0,
-        liveness: Liveness::Alive,
-        leaving: false,
-        http: to,
-        peer: to,
-        zone: "z".parse().unwrap(),
-        cpu_milli: 0,
-    };
-    let directory = Arc::new(Directory::new(own));
-    directory.apply_list(&[ListedInstance {
-        name: "b".parse().unwrap(),
-        http: to,
-        peer: to,
-        zone: "z".parse().unwrap(),
-        leaving: false,
-        cpu_milli: 0,
-    }]);
-    let cfg = LinkSettings {
-        own: "a".parse().unwrap(),
-        secret: Secret::new(secret),
-        connect_timeout: LIMIT,
-        keep_alive: KEEP_ALIVE,
-    };
-    Links::new(cfg, directory, ByteCounter::default())
+    (listen(secret, echo.clone()).await, echo)
 }
 
 #[tokio::test]
