Add failing tests of targets that limit their requests per second

Callers saw targets in need get far more requests than they can take: the gateway does not read Server-Limit. The fake target names limits now, and LimitCount counts as the users' rule does.

--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -4,11 +4,13 @@
 //! uses, inject faults on demand, and each records what it received.
 
 mod caller;
+mod limit_count;
 mod slow_link;
 mod store;
 mod target;
 
 pub use crate::site::caller::{Call, CallResult, call};
+pub use crate::site::limit_count::{Excess, LimitCount};
 pub use crate::site::slow_link::SlowLink;
 pub use crate::site::store::{FakeStore, StoreFault};
 pub use crate::site::target::{Arrival, Behaviour, FakeTarget, STREAM_EVENTS};
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -91,6 +91,8 @@
     arrivals: Vec<Arrival>,
     // The part of a prompt that crashes the target, and how long it is down then.
     crashes_on: Option<(String, Duration)>,
+    // The value of `Server-Limit` in its responses.
+    limit: Option<String>,
 }
 
 /// A running fake target; dropping it stops accepting connections.
@@ -164,6 +166,11 @@
         lock(&self.shared).crashes_on = Some((part.to_owned(), down));
     }
 
+    /// Names a limit of requests per second in all responses from now on, or none.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        lock(&self.shared).limit = limit.map(str::to_owned);
+    }
+
     /// Number of crashes so far.
     pub fn crashes(&self) -> usize {
         *self.crashes.borrow()
@@ -267,6 +274,8 @@
             return Ok(());
         }
         let (bytes, keep_alive) = response(behaviour, &arrival);
+        let limit = lock(shared).limit.clone();
+        let bytes = with_limit(bytes, limit.as_deref());
         let middle = match behaviour {
             Behaviour::Pause => bytes.len() - bytes.len() / 4,
             _ => bytes.len(),
@@ -372,6 +381,18 @@
     (text.into_bytes(), keep_alive)
 }
 
+// Inserts the limit after the status line.
+fn with_limit(bytes: Vec<u8>, limit: Option<&str>) -> Vec<u8> {
+    let line_end = bytes.windows(2).position(|w| w == b"\r\n");
+    match (limit, line_end) {
+        (Some(limit), Some(end)) if bytes.starts_with(b"HTTP/1.1") => {
+            let header = format!("\r\nServer-Limit: {limit}");
+            [&bytes[..end], header.as_bytes(), &bytes[end..]].concat()
+        }
+        _ => bytes,
+    }
+}
+
 fn events(arrival: &Arrival) -> String {
     let last = arrival.header("last-event-id").and_then(|v| v.parse().ok());
     let from: u64 = last.unwrap_or(0);
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -7,3 +7,4 @@
 mod nodes;
 mod requests;
 mod store;
+mod target_limits;
