Keep to the requests per second that targets name, over all nodes

Cause: nothing read Server-Limit, so schedulers granted by slots and cost as before. Ruled out: nodes that each keep to the limit alone (each sent 3 to 9 in 4 s), and nodes that had not been told (all had, within a second).

The scheduler of a shard counts the requests of all nodes, so it keeps a token bucket for each target that names a limit: repeats and resumed streams need a slot and thus a token, too. A burst of a quarter second and one request bounds any 4 s by 4.25 times the limit and one. Homes report with the first byte or the end what a response said; they remember limits and pass them on once to each scheduler process that has not been told, as a successor knows nothing else. A limit ends only by the response to a request that was sent after it had been named. A scheduler uses the visible share of the nodes of each limit.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -8,7 +8,7 @@
 use derive_more::{Display, Error, From};
 use http::{HeaderMap, request, response};
 use rwd_placement::{PromptPart, TargetEntry};
-use rwd_types::{RegionName, TargetName, WorkspaceName, ZoneName};
+use rwd_types::{RateError, RegionName, RequestRate, TargetName, WorkspaceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -75,6 +75,8 @@
     pub misdirected: bool,
     /// Whether the body has a content encoding; targets never use one.
     pub encoded: bool,
+    /// The requests per second that the target takes from all nodes together, if it limits them.
+    pub limit: Option<Result<RequestRate, RateError>>,
 }
 
 /// The caller's location as given in a lookup.
--- a/crates/gateway/src/local_scheduler.rs
+++ b/crates/gateway/src/local_scheduler.rs
@@ -4,9 +4,10 @@
 use log::info;
 use rwd_peer::Exchange;
 use rwd_placement::{
-    Decision, Offer, OfferId, PlacementSettings, Refusal, Scheduler, SlotOutcome, TargetInfo,
+    Decision, LimitNotice, LimitReport, Offer, OfferId, PlacementSettings, Refusal, Scheduler,
+    SlotOutcome, TargetInfo,
 };
-use rwd_types::PoolName;
+use rwd_types::{PoolName, RequestRate, TargetName};
 use rwd_wire::{Message, Placed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -67,6 +68,14 @@
             .record_first_byte(self.id, first_ms, clock::now());
     }
 
+    /// Records what the response says about its target's request limit.
+    pub fn record_limit(&self, limit: LimitReport) {
+        let mut inner = self.scheduler.lock();
+        let changed = inner.scheduler.record_limit(self.id, limit, clock::now());
+        log_limit(changed);
+        inner.deliver_decisions();
+    }
+
     /// Releases the slot and records the outcome of its request.
     pub fn release(mut self, outcome: SlotOutcome) {
         self.outcome = outcome;
@@ -104,7 +113,15 @@
 
     /// Sets the fraction of the nodes that are visible to this one.
     pub fn set_visible_share(&self, share: f64) {
-        self.lock().scheduler.set_visible_share(share);
+        self.lock().scheduler.set_visible_share(share, clock::now());
+    }
+
+    /// Applies what another node knows about the limits of targets.
+    pub fn learn_limits(&self, limits: &[LimitNotice]) {
+        let mut inner = self.lock();
+        for notice in limits {
+            log_limit(inner.scheduler.learn_limit(notice, clock::now()));
+        }
     }
 
     /// Makes an offer.
@@ -173,8 +190,12 @@
         }
         loop {
             match ex.recv().await? {
-                Some(Message::Begun { first_ms }) => ticket.record_first_byte(first_ms),
-                Some(Message::Release(outcome)) => {
+                Some(Message::Begun { first_ms, limit }) => {
+                    ticket.record_limit(limit);
+                    ticket.record_first_byte(first_ms);
+                }
+                Some(Message::Release { outcome, limit }) => {
+                    ticket.record_limit(limit);
                     ticket.release(outcome);
                     return Ok(());
                 }
@@ -184,6 +205,18 @@
     }
 }
 
+fn log_limit(changed: Option<(TargetName, Option<RequestRate>)>) {
+    match changed {
+        Some((target, Some(limit))) => {
+            info!(event = "request_limit", target:%, limit:%; "keeping to the limit of a target");
+        }
+        Some((target, None)) => {
+            info!(event = "request_limit", target:%; "the limit of a target has ended");
+        }
+        None => (),
+    }
+}
+
 fn to_result(decision: Decision) -> PlaceResult {
     match decision {
         Decision::Grant {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -472,7 +472,12 @@
             Message::Ping(_) | Message::PingFor { .. } => {
                 self.membership.serve_probe(&first, ex).await
             }
-            Message::Place { offer, list_age_ms } => {
+            Message::Place {
+                offer,
+                list_age_ms,
+                limits,
+            } => {
+                self.scheduler.learn_limits(&limits);
                 if self.is_behind(list_age_ms) {
                     self.fresher_peer.send_replace(Some(from.clone()));
                 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use log::info;
 use rwd_metrics::label;
-use rwd_placement::{Offer, PromptPart, SlotOutcome, Timestamp};
+use rwd_placement::{LimitReport, Offer, PromptPart, SlotOutcome, Timestamp};
 use rwd_types::TargetName;
 use std::sync::Arc;
 use std::time::Duration;
@@ -433,7 +433,7 @@
         response: Response<Incoming>,
         connection: Connection,
         limit: Duration,
-        dispatch: &Dispatch,
+        dispatch: &mut Dispatch,
     ) -> Attempt {
         let (parts, body) = response.into_parts();
         let head = self.gateway.protocol.read_response(&parts);
@@ -441,6 +441,9 @@
             info!(event = "distrusted", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reason, status = parts.status.as_u16(); "response rejected");
             return Attempt::Broken;
         }
+        if !head.misdirected {
+            self.record_limit(&head, dispatch);
+        }
         if self.admitted.route.streams && parts.status.is_success() {
             let mut reader = EventReader::new(body);
             let target = &dispatch.slot.target;
@@ -484,6 +487,29 @@
         }
     }
 
+    // Records the request limit that the target names in its response.
+    fn record_limit(&self, head: &TargetResponseHead, dispatch: &mut Dispatch) {
+        let (id, target) = (&self.admitted.head.id, dispatch.slot.target.clone());
+        let limit = match &head.limit {
+            None => LimitReport::Unlimited,
+            Some(Ok(limit)) => LimitReport::Limited(*limit),
+            Some(Err(e)) => {
+                info!(event = "bad_limit", request:% = id, target:% = target, error:% = e; "the target names a limit that is not a number");
+                LimitReport::Unknown
+            }
+        };
+        let slots = &self.gateway.slots;
+        if slots.record_limit(&mut dispatch.slot, limit, dispatch.sent) {
+            let kind = match limit {
+                LimitReport::Limited(_) => "named",
+                _ => "ended",
+            };
+            info!(event = "limit_changed", request:% = id, target:% = target, scheduler:% = dispatch.slot.scheduler, kind, limit:? = limit; "the response changes the target's request limit");
+            let labels = [label("kind", kind)];
+            self.gateway.metrics.limits_changed.add(1, &labels);
+        }
+    }
+
     // Why a response cannot be the target's complete response to this request.
     fn reject_reason(
         &self,
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -4,11 +4,11 @@
 use indexmap::IndexMap;
 use log::{debug, info};
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_cpu};
-use rwd_placement::{Offer, SlotOutcome, Timestamp};
-use rwd_types::{InstanceName, TargetName};
+use rwd_placement::{KnownLimits, LimitReport, Offer, Recipient, SlotOutcome, Timestamp};
+use rwd_types::{InstanceName, PoolName, TargetName};
 use rwd_wire::{MemberUpdate, Message, Placed};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
@@ -55,29 +55,42 @@
     pub proven: bool,
     /// The node that granted the slot, for logs.
     pub scheduler: InstanceName,
+    shard: PoolName,
+    // What the response says about the target's request limit, until that is reported.
+    limit: LimitReport,
     handle: SlotHandle,
 }
 
 impl Slot {
     /// Reports to the scheduler that the first byte of the response has been received.
     pub async fn record_first_byte(&mut self, first_ms: f64) {
+        // Reported once: by the end of the stream, another response may have changed it.
+        let limit = std::mem::take(&mut self.limit);
         match &mut self.handle {
-            SlotHandle::Local(ticket) => ticket.record_first_byte(first_ms),
+            SlotHandle::Local(ticket) => {
+                ticket.record_limit(limit);
+                ticket.record_first_byte(first_ms);
+            }
             SlotHandle::Remote(ex) => {
                 // A lost scheduler is detected when the slot is released.
-                let _ = ex.send(&Message::Begun { first_ms }).await;
+                let _ = ex.send(&Message::Begun { first_ms, limit }).await;
             }
         }
     }
 
     /// Releases the slot and reports the outcome of its request.
     pub fn release(self, outcome: SlotOutcome) {
+        let limit = self.limit;
         match self.handle {
-            SlotHandle::Local(ticket) => ticket.release(outcome),
+            SlotHandle::Local(ticket) => {
+                ticket.record_limit(limit);
+                ticket.release(outcome);
+            }
             SlotHandle::Remote(ex) => {
                 tokio::spawn(async move {
+                    let report = Message::Release { outcome, limit };
                     // Without the report the scheduler frees the slot when the exchange ends.
-                    if let Err(e) = ex.finish(&Message::Release(outcome)).await {
+                    if let Err(e) = ex.finish(&report).await {
                         debug!(error:% = e; "cannot report a request's outcome to the scheduler");
                     }
                 });
@@ -95,6 +108,7 @@
     shards: Arc<Shards>,
     replica: Arc<StoreReplica>,
     avoided: Mutex<IndexMap<InstanceName, Timestamp>>,
+    known_limits: Mutex<KnownLimits>,
 }
 
 /// An offer that is queued or granted at a scheduler.
@@ -127,9 +141,29 @@
             shards,
             replica,
             avoided: Mutex::default(),
+            known_limits: Mutex::default(),
         }
     }
 
+    fn known_limits(&self) -> MutexGuard<'_, KnownLimits> {
+        self.known_limits.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// Records what the response to a request, sent at `sent`, says about its target's limit.
+    /// Returns whether the limit changed.
+    pub fn record_limit(&self, slot: &mut Slot, limit: LimitReport, sent: Timestamp) -> bool {
+        slot.limit = limit;
+        let by = self.recipient(&slot.scheduler);
+        self.known_limits()
+            .record(&slot.target, &slot.shard, limit, sent, by, clock::now())
+    }
+
+    fn recipient(&self, scheduler: &InstanceName) -> Option<Recipient> {
+        let view = self.directory.view();
+        let member = view.members.get(scheduler)?;
+        Some((scheduler.clone(), member.incarnation))
+    }
+
     /// Acquires a slot for a request, or returns the reason why there is none.
     ///
     /// A request that is queued at one shard is queued at a second one too and takes the first slot
@@ -152,7 +186,9 @@
             let (result, index, _) = select_all(waits).await;
             let (open_offer, shard) = open.swap_remove(index);
             match result {
-                Ok(Ok(granted)) => return Ok(open_offer.into_slot(granted, &self.instance)),
+                Ok(Ok(granted)) => {
+                    return Ok(open_offer.into_slot(granted, &self.instance, &shard.name));
+                }
                 Ok(Err(d)) => declined = Some(d),
                 Err(e) => {
                     self.record_loss(&open_offer, &offer, &e);
@@ -178,7 +214,7 @@
         offer: &Offer,
     ) -> Result<Slot, Declined> {
         match open_offer.decision().await {
-            Ok(Ok(granted)) => Ok(open_offer.into_slot(granted, &self.instance)),
+            Ok(Ok(granted)) => Ok(open_offer.into_slot(granted, &self.instance, &offer.pool)),
             Ok(Err(declined)) => Err(declined),
             Err(e) => {
                 self.record_loss(&open_offer, offer, &e);
@@ -208,10 +244,17 @@
                 }
             }
         }
+        if let Some(own) = self.recipient(&self.instance) {
+            let mut known = self.known_limits();
+            let limits = known.untold(&offer.pool, &own, clock::now());
+            self.local_scheduler.learn_limits(&limits);
+            known.mark_told(&limits, &own);
+        }
         let mut ticket = self.local_scheduler.offer(aged(offer, created));
         match ticket.try_decision() {
             Some(Ok(granted)) => {
-                Reply::Slot(OpenOffer::Local(ticket).into_slot(granted, &self.instance))
+                let open_offer = OpenOffer::Local(ticket);
+                Reply::Slot(open_offer.into_slot(granted, &self.instance, &offer.pool))
             }
             Some(Err(declined)) => Reply::Declined(declined),
             None => Reply::Queued(OpenOffer::Local(ticket)),
@@ -247,9 +290,17 @@
     }
 
     async fn offer_remote(&self, name: &InstanceName, offer: Offer) -> rwd_peer::Result<Reply> {
+        let pool = offer.pool.clone();
+        let recipient = self.recipient(name);
+        let limits = recipient.as_ref().map(|to| {
+            let mut known = self.known_limits();
+            known.untold(&pool, to, clock::now())
+        });
+        let limits = limits.unwrap_or_default();
         let message = Message::Place {
             offer: Box::new(offer),
             list_age_ms: self.replica.targets_age_ms(),
+            limits: limits.clone(),
         };
         let reply = async {
             let mut ex = self.links.open(name, &message).await?;
@@ -260,11 +311,17 @@
             Ok(result) => result?,
             Err(_) => return Err(Error::Timeout),
         };
+        if let Some(to) = recipient {
+            self.known_limits().mark_told(&limits, &to);
+        }
         let open_offer = OpenOffer::Remote(name.clone(), Box::new(ex));
         match reply {
             Message::Queued => Ok(Reply::Queued(open_offer)),
             reply => match parse_decision(reply)? {
-                Ok(granted) => Ok(Reply::Slot(open_offer.into_slot(granted, &self.instance))),
+                Ok(granted) => {
+                    let slot = open_offer.into_slot(granted, &self.instance, &pool);
+                    Ok(Reply::Slot(slot))
+                }
                 Err(declined) => Ok(Reply::Declined(declined)),
             },
         }
@@ -280,7 +337,7 @@
         }
     }
 
-    fn into_slot(self, granted: Placed, instance: &InstanceName) -> Slot {
+    fn into_slot(self, granted: Placed, instance: &InstanceName, shard: &PoolName) -> Slot {
         let (scheduler, handle) = match self {
             Self::Local(ticket) => (instance.clone(), SlotHandle::Local(ticket)),
             Self::Remote(name, ex) => (name, SlotHandle::Remote(ex)),
@@ -291,6 +348,8 @@
             first_ms: granted.first_ms,
             proven: granted.proven,
             scheduler,
+            shard: shard.clone(),
+            limit: LimitReport::Unknown,
             handle,
         }
     }
--- a/crates/lab/tests/gateway/target_limits.rs
+++ b/crates/lab/tests/gateway/target_limits.rs
@@ -91,7 +91,6 @@
     // So many of these fail that some are sent twice, or resumed, at targets in need.
     load.cluster.model_targets[2].script(&[rwd_lab::site::Behaviour::Truncated; 40]);
     load.run(Duration::from_secs(10)).await;
-    let end = load.now_ms();
     let limited = [
         (&load.cluster.model_targets[0], 2.5),
         (&load.cluster.model_targets[1], 0.8),
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -52,6 +52,8 @@
     pub slot_wait_ms: Histogram<f64>,
     /// Failed sends to targets, by kind.
     pub sends_failed: Counter<u64>,
+    /// Changes of targets' request limits that responses brought, by kind.
+    pub limits_changed: Counter<u64>,
     /// Failed reads of the store, by feed.
     pub store_reads_failed: Counter<u64>,
 }
@@ -82,6 +84,7 @@
             answer_ms: latency(&meter, "answer_ms"),
             slot_wait_ms: latency(&meter, "slot_wait_ms"),
             sends_failed: counter(&meter, "sends_failed"),
+            limits_changed: counter(&meter, "limits_changed"),
             store_reads_failed: counter(&meter, "store_reads_failed"),
             _provider: provider,
         })
--- a/crates/peer/tests/last_words.rs
+++ b/crates/peer/tests/last_words.rs
@@ -4,7 +4,7 @@
 
 use helper::{links, listen};
 use rwd_peer::{Exchange, Handler};
-use rwd_placement::SlotOutcome;
+use rwd_placement::{LimitReport, SlotOutcome};
 use rwd_types::InstanceName;
 use rwd_wire::Message;
 use std::sync::Arc;
@@ -27,7 +27,10 @@
     let address = listen("s", Arc::new(ReportSecond(tx))).await;
     let links = links("s", address);
     let scheduler: InstanceName = "b".parse().unwrap();
-    let release = Message::Release(SlotOutcome::Gone);
+    let release = Message::Release {
+        outcome: SlotOutcome::Gone,
+        limit: LimitReport::Unlimited,
+    };
     for n in 0..50 {
         let mut ex = links.open(&scheduler, &Message::Queued).await.unwrap();
         assert_eq!(ex.recv().await.unwrap(), Some(Message::Queued));
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,12 +4,13 @@
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
 //! schedules. [`Scheduler::poll`] applies the service order, the `target` module
 //! the cost model, `cache` estimates the content of prefix caches, and `crash_ledger`
-//! finds prompts that crash targets.
+//! finds prompts that crash targets, and `request_limit` keeps to the limits that targets name.
 
 mod cache;
 mod crash_ledger;
 mod offer;
 mod registry;
+mod request_limit;
 mod scheduler;
 mod target;
 
@@ -17,5 +18,6 @@
 pub use crate::crash_ledger::{BlockNews, CrashLedger, CrashNews, CrashReport, shared_parts};
 pub use crate::offer::{Offer, OfferId, PromptPart, Rank, SlotOutcome, Timestamp};
 pub use crate::registry::TargetEntry;
+pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
 pub use crate::target::{Capacity, TargetInfo};
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -1,12 +1,13 @@
 //! The queue of waiting requests, its service order, and admission control.
 
 use indexmap::IndexMap;
-use rwd_types::{PoolName, TargetName};
+use rwd_types::{PoolName, RequestRate, TargetName};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use crate::request_limit::RequestLimit;
 use crate::target::Target;
-use crate::{Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
+use crate::{LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
 
 /// Requests that one round may skip because no target fits them.
 const MAX_SKIPPED: usize = 48;
@@ -36,6 +37,10 @@
 /// schedule the same targets.
 const QUORUM_FRACTION: f64 = 0.5;
 
+/// Limits that are kept of targets that have left their pool; they come back in another one when a
+/// pool is partitioned anew.
+const MAX_FORMER_LIMITS: usize = 512;
+
 /// Settings of a scheduler.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlacementSettings {
@@ -181,6 +186,8 @@
     pub failures: f64,
     /// Whether it is given new requests.
     pub usable: bool,
+    /// The limit that it has named for the requests of all nodes.
+    pub limit: Option<RequestRate>,
 }
 
 /// Tracks the load of targets and grants their slots.
@@ -191,6 +198,9 @@
     granted: IndexMap<OfferId, (PoolName, TargetName)>,
     next_id: u64,
     slot_fraction: Option<f64>,
+    visible_share: Option<f64>,
+    // Limits of targets that have left their pool, with the start times of their processes.
+    former_limits: IndexMap<TargetName, (u64, RequestLimit)>,
 }
 
 impl Scheduler {
@@ -207,30 +217,47 @@
         let state = self.pools.entry(pool.clone()).or_default();
         let listed = |t: &TargetName| infos.iter().any(|i| i.name == *t);
         // A delisted target drains: it is removed once its last request has ended.
-        state
-            .targets
-            .retain(|name, t| listed(name) || !t.in_flight.is_empty());
         for (name, t) in &mut state.targets {
             if !listed(name) {
                 t.info.leaving = true;
+                if t.limit.rate().is_some() {
+                    let limit = (t.info.born, t.limit.clone());
+                    self.former_limits.insert(name.clone(), limit);
+                }
             }
         }
+        state
+            .targets
+            .retain(|name, t| listed(name) || !t.in_flight.is_empty());
         for info in infos {
             match state.targets.get_mut(&info.name) {
                 Some(t) => t.update(info),
                 None => {
-                    state.targets.insert(info.name.clone(), Target::new(info));
+                    let former = self.former_limits.swap_remove(&info.name);
+                    let former = former.filter(|(born, _)| *born == info.born);
+                    let share = self.visible_share.unwrap_or(1.0);
+                    let limit = former.map_or(RequestLimit::new(share), |(_, limit)| limit);
+                    let target = Target::new(info, limit);
+                    state.targets.insert(target.info.name.clone(), target);
                 }
             }
         }
+        while self.former_limits.len() > MAX_FORMER_LIMITS {
+            self.former_limits.shift_remove_index(0);
+        }
     }
 
     /// Sets the fraction of the nodes that this node can see.
     ///
     /// In a minority partition the scheduler uses only that fraction of the slots, because the
-    /// other side schedules the same targets.
-    pub fn set_visible_share(&mut self, share: f64) {
+    /// other side schedules the same targets. Of the limits of targets it always uses only that
+    /// fraction.
+    pub fn set_visible_share(&mut self, share: f64, now: Timestamp) {
         self.slot_fraction = (share < QUORUM_FRACTION).then_some(share);
+        if self.visible_share.replace(share) != Some(share) {
+            let targets = self.pools.values_mut().flat_map(|p| p.targets.values_mut());
+            targets.for_each(|t| t.limit.set_share(share, now));
+        }
     }
 
     /// The pools that have targets.
@@ -281,6 +308,56 @@
         }
     }
 
+    /// Records what the response to a granted request says about its target's limit. Returns the
+    /// target and its limit if that changed.
+    ///
+    /// Call it before [`Scheduler::finish`].
+    pub fn record_limit(
+        &mut self,
+        id: OfferId,
+        report: LimitReport,
+        now: Timestamp,
+    ) -> Option<(TargetName, Option<RequestRate>)> {
+        let (pool, name) = self.granted.get(&id)?.clone();
+        let sent = self
+            .pools
+            .get(&pool)?
+            .targets
+            .get(&name)?
+            .in_flight
+            .get(&id)?
+            .granted_at;
+        self.update_limit(name, |limit| limit.report(report, sent, now))
+    }
+
+    /// Applies what another node knows about a target's limit. Returns the target and its limit if
+    /// that changed.
+    pub fn learn_limit(
+        &mut self,
+        notice: &LimitNotice,
+        now: Timestamp,
+    ) -> Option<(TargetName, Option<RequestRate>)> {
+        self.update_limit(notice.target.clone(), |limit| limit.learn(notice, now))
+    }
+
+    // A target may be in several pools for a while, when a pool is partitioned anew.
+    fn update_limit(
+        &mut self,
+        name: TargetName,
+        update: impl Fn(&mut RequestLimit),
+    ) -> Option<(TargetName, Option<RequestRate>)> {
+        let mut changed = None;
+        let targets = self.pools.values_mut();
+        for t in targets.filter_map(|p| p.targets.get_mut(&name)) {
+            let before = t.limit.rate();
+            update(&mut t.limit);
+            if t.limit.rate() != before {
+                changed = Some(t.limit.rate());
+            }
+        }
+        changed.map(|limit| (name, limit))
+    }
+
     /// Makes all decisions that are possible at `now`.
     ///
     /// Call it after each change, and several times a second while offers are queued.
@@ -327,6 +404,7 @@
             in_flight: t.in_flight.len(),
             failures: t.failures(now),
             usable: t.is_usable(now),
+            limit: t.limit.rate(),
         });
         views.collect()
     }
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -4,6 +4,7 @@
 use rwd_types::{InstanceName, TargetName, ZoneName};
 use std::net::SocketAddr;
 
+use crate::request_limit::RequestLimit;
 use crate::{Offer, OfferId, PromptCache, SlotOutcome, Timestamp};
 
 /// Smoothing factor of the moving averages for a sample below the estimate.
@@ -115,6 +116,8 @@
     pub queued_before: f64,
     /// The home node of the request.
     pub home: InstanceName,
+    /// When the slot was granted.
+    pub granted_at: Timestamp,
 }
 
 /// Exponential backoff of a target, for one node or for all.
@@ -137,6 +140,7 @@
     pub info: TargetInfo,
     pub in_flight: IndexMap<OfferId, InFlight>,
     pub cache: PromptCache,
+    pub limit: RequestLimit,
     /// Prompt tokens sent but, by estimate, not processed yet, as of `backlog_at`.
     backlog: f64,
     backlog_at: Timestamp,
@@ -153,11 +157,12 @@
 }
 
 impl Target {
-    pub fn new(info: TargetInfo) -> Self {
+    pub fn new(info: TargetInfo, limit: RequestLimit) -> Self {
         Self {
             info,
             in_flight: IndexMap::new(),
             cache: PromptCache::default(),
+            limit,
             backlog: 0.0,
             backlog_at: Timestamp::default(),
             prefill_ms_per_token: DEFAULT_PREFILL_MS_PER_TOKEN,
@@ -179,7 +184,7 @@
                 prefill_ms_per_token: self.prefill_ms_per_token,
                 step_ms: self.step_ms,
                 call_ms: self.call_ms,
-                ..Self::new(info)
+                ..Self::new(info, RequestLimit::new(self.limit.share()))
             };
             return;
         }
@@ -199,6 +204,7 @@
         self.is_usable(now)
             && !self.is_backed_off_for(&offer.home, now)
             && self.in_flight.len() < slots
+            && self.limit.allows(now)
             && fits
             && !offer.exclude.contains(&self.info.name)
     }
@@ -226,9 +232,9 @@
         self.backoffs.get(home).is_some_and(|b| b.until > now)
     }
 
-    /// Whether the target is usable and has a free slot.
+    /// Whether the target is usable, has a free slot and is below its request limit.
     pub fn has_free_slot(&self, now: Timestamp) -> bool {
-        self.is_usable(now) && self.in_flight.len() < self.max_in_flight()
+        self.is_usable(now) && self.in_flight.len() < self.max_in_flight() && self.limit.allows(now)
     }
 
     // Concurrent requests sent to the target. Non-LLM services get as many beyond their slots as
@@ -341,7 +347,9 @@
             uncached,
             queued_before,
             home: offer.home.clone(),
+            granted_at: now,
         };
+        self.limit.take(now);
         self.in_flight.insert(id, in_flight);
     }
 
@@ -372,7 +380,9 @@
             return;
         };
         match outcome {
-            SlotOutcome::Unused | SlotOutcome::Unreachable | SlotOutcome::Down => (),
+            SlotOutcome::Unreachable | SlotOutcome::Down => self.limit.refund(now),
+            // The home node may have sent the request before its caller disconnected.
+            SlotOutcome::Unused => (),
             SlotOutcome::Broken | SlotOutcome::Silent => (),
             _ => {
                 self.last_response = Some(now);
--- a/crates/placement/tests/placement/choice.rs
+++ b/crates/placement/tests/placement/choice.rs
@@ -187,13 +187,13 @@
 #[test]
 fn a_minority_partition_uses_only_its_fraction_of_the_slots() {
     let mut s = scheduler((0..10).map(|n| target(&format!("t{n}"), 6)).collect());
-    s.set_visible_share(0.1);
+    s.set_visible_share(0.1, at(0.0));
     for _ in 0..60 {
         s.offer(offer(0), at(0.0));
     }
     assert_eq!(s.poll(at(0.0)).len(), 6);
     // In a majority partition, the other nodes have more likely failed.
-    s.set_visible_share(0.7);
+    s.set_visible_share(0.7, at(0.0));
     assert_eq!(s.poll(at(1.0)).len(), 54);
 }
 
--- a/crates/placement/tests/placement/main.rs
+++ b/crates/placement/tests/placement/main.rs
@@ -2,5 +2,6 @@
 
 mod choice;
 mod helper;
+mod limits;
 mod overload;
 mod properties;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,6 +15,6 @@
 };
 pub use crate::outcome::{Executed, Problem, ProblemKind};
 pub use crate::quantity::{
-    BlockHash, ByteSize, Incarnation, LogOffset, Millis, Revision, SessionId, TierRank, TokenRate,
-    Tokens,
+    BlockHash, ByteSize, Incarnation, LogOffset, Millis, RateError, RequestRate, Revision,
+    SessionId, TierRank, TokenRate, Tokens,
 };
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -1,7 +1,9 @@
 //! Newtypes for counts, sizes, rates and positions that carry the unit.
 
-use derive_more::{Display, From, FromStr, Into};
+use compact_str::{CompactString, ToCompactString};
+use derive_more::{Display, Error, From, FromStr, Into};
 use serde::{Deserialize, Serialize};
+use std::str::FromStr;
 use std::time::Duration;
 
 macro_rules! quantities {
@@ -52,3 +54,48 @@
         Self(u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
     }
 }
+
+/// A rate of requests per second: a finite number, not negative.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[display("{_0}")]
+#[serde(transparent)]
+pub struct RequestRate(f64);
+
+/// A text or number that is not a rate.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[display("`{text}` is not a rate")]
+pub struct RateError {
+    /// The invalid value.
+    pub text: CompactString,
+}
+
+impl RequestRate {
+    /// Creates a rate from requests per second.
+    ///
+    /// # Errors
+    ///
+    /// Fails for numbers that are negative, infinite or not a number.
+    pub fn new(per_s: f64) -> Result<Self, RateError> {
+        match per_s.is_finite() && per_s >= 0.0 {
+            true => Ok(Self(per_s)),
+            false => Err(RateError {
+                text: per_s.to_compact_string(),
+            }),
+        }
+    }
+
+    /// Requests per second.
+    pub const fn per_s(self) -> f64 {
+        self.0
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = RateError;
+
+    fn from_str(text: &str) -> Result<Self, RateError> {
+        let error = || RateError { text: text.into() };
+        let per_s = text.trim().parse().map_err(|_| error())?;
+        Self::new(per_s).map_err(|_| error())
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 /// Version of the protocol; nodes of different versions refuse to connect.
-pub const VERSION: u16 = 4;
+pub const VERSION: u16 = 5;
 /// Length of a handshake nonce, in bytes.
 pub const NONCE_BYTES: usize = 16;
 
@@ -355,6 +355,8 @@
         offer: Box<rwd_placement::Offer>,
         /// Age of the sender's list of targets, in milliseconds.
         list_age_ms: f64,
+        /// Limits of targets that the receiver may not know.
+        limits: Vec<rwd_placement::LimitNotice>,
     },
     /// The offer is queued.
     Queued,
@@ -371,9 +373,16 @@
     Begun {
         /// Time to the first byte since the request was sent, in milliseconds.
         first_ms: f64,
+        /// What the response says about the target's request limit.
+        limit: rwd_placement::LimitReport,
     },
     /// Releases a slot.
-    Release(rwd_placement::SlotOutcome),
+    Release {
+        /// How its use ended.
+        outcome: rwd_placement::SlotOutcome,
+        /// What the response says about the target's request limit.
+        limit: rwd_placement::LimitReport,
+    },
     /// Requests quota units from the workspace's quota coordinator.
     Demand {
         /// The workspace.
