Spread limits of targets before a handover, and order what responses say of them

Homes now tell the present scheduler and its successor within 0.3 s of what they may not know, not only with the next offer. A report says how long after the dispatch the response came. Whether one response is newer than another is certain only if its request was sent after the other had arrived; otherwise the lower limit holds.

Ruled out: a smaller burst (the excess came over a second, not at once).

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -70,6 +70,8 @@
 const UNLIST_TIMEOUT: Duration = Duration::from_millis(500);
 /// Interval between two counts of the visible nodes.
 const SHARE_PERIOD: Duration = Duration::from_millis(500);
+/// Interval at which schedulers are told of limits of targets that they may not know.
+const LIMITS_PERIOD: Duration = Duration::from_millis(300);
 /// Interval between two checks of the settings file and of idle connections.
 const MAINTENANCE_PERIOD: Duration = Duration::from_secs(3);
 
@@ -243,6 +245,7 @@
             shards.clone(),
         ));
         tasks.spawn(scheduler.clone().run());
+        tasks.spawn(spread_limits(gateway.clone(), timer.clone()));
         tasks.spawn(crash_guard.clone().run(timer.clone()));
         tasks.spawn(
             crash_guard
@@ -483,6 +486,10 @@
                 }
                 self.scheduler.serve(*offer, ex).await
             }
+            Message::Limits(limits) => {
+                self.scheduler.learn_limits(&limits);
+                ex.send_last(&Message::UpToDate).await
+            }
             Message::AskNews(cursor) => store_sync::serve_pull(&self.replica, cursor, ex).await,
             Message::AskCatalog { version, part } => {
                 catalog_sync::serve_part(&self.replica, version, part, ex).await
@@ -543,6 +550,15 @@
     }
 }
 
+// Tells schedulers and their successors of the limits that targets named to this node.
+async fn spread_limits<P: Protocol>(gateway: Arc<Gateway<P>>, timer: Timer) {
+    let mut ticks = timer.every(LIMITS_PERIOD);
+    loop {
+        ticks.tick().await;
+        gateway.slots.spread_limits().await;
+    }
+}
+
 async fn maintain(
     timer: Timer,
     connections: Arc<ConnectionPool>,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -492,7 +492,10 @@
         let (id, target) = (&self.admitted.head.id, dispatch.slot.target.clone());
         let limit = match &head.limit {
             None => LimitReport::Unlimited,
-            Some(Ok(limit)) => LimitReport::Limited(*limit),
+            Some(Ok(limit)) => LimitReport::Limited {
+                limit: *limit,
+                after_ms: clock::now() - dispatch.sent,
+            },
             Some(Err(e)) => {
                 info!(event = "bad_limit", request:% = id, target:% = target, error:% = e; "the target names a limit that is not a number");
                 LimitReport::Unknown
@@ -501,7 +504,7 @@
         let slots = &self.gateway.slots;
         if slots.record_limit(&mut dispatch.slot, limit, dispatch.sent) {
             let kind = match limit {
-                LimitReport::Limited(_) => "named",
+                LimitReport::Limited { .. } => "named",
                 _ => "ended",
             };
             info!(event = "limit_changed", request:% = id, target:% = target, scheduler:% = dispatch.slot.scheduler, kind, limit:? = limit; "the response changes the target's request limit");
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -3,7 +3,7 @@
 //! Every node computes the same shards from its list of targets. A shard stays
 //! within one availability zone, so that most responses do not cross zones.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::seq::SliceRandom;
 use rwd_placement::TargetEntry;
 use rwd_types::{PoolName, TargetName, ZoneName};
@@ -85,6 +85,16 @@
         old
     }
 
+    /// The shards with these names.
+    pub fn named(&self, names: &IndexSet<PoolName>) -> Vec<Shard> {
+        let by_pool = self.lock();
+        let shards = by_pool.values().flatten();
+        shards
+            .filter(|s| names.contains(&s.name))
+            .cloned()
+            .collect()
+    }
+
     /// The shards of a pool in the order to try them: those of `zone` first, otherwise random.
     pub fn of(&self, pool: &PoolName, zone: &ZoneName) -> Vec<Shard> {
         let mut shards = self.lock().get(pool).cloned().unwrap_or_default();
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -2,7 +2,7 @@
 
 use futures_util::future::select_all;
 use indexmap::IndexMap;
-use log::{debug, info};
+use log::{debug, info, warn};
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_cpu};
 use rwd_placement::{KnownLimits, LimitReport, Offer, Recipient, SlotOutcome, Timestamp};
 use rwd_types::{InstanceName, PoolName, TargetName};
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use tokio::task::JoinSet;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -26,6 +27,9 @@
 /// Number of remote schedulers tried before the local one.
 const MAX_REMOTE_SCHEDULERS: usize = 4;
 
+/// Number of schedulers of a shard that are told of limits before they get an offer: the present one
+/// and its successor.
+const INFORMED_SCHEDULERS: usize = 2;
 /// Number of shards at which one request is queued.
 const MAX_SHARDS: usize = 2;
 /// Retry-after time if the pool has no target or its schedulers are lost, in milliseconds.
@@ -158,6 +162,43 @@
             .record(&slot.target, &slot.shard, limit, sent, by, clock::now())
     }
 
+    /// Tells the schedulers of each shard, and their successors, of limits that they may not know.
+    pub async fn spread_limits(&self) {
+        let shards = self.known_limits().shards();
+        let mut sent = JoinSet::new();
+        for shard in self.shards.named(&shards) {
+            for name in self
+                .schedulers(&shard)
+                .into_iter()
+                .take(INFORMED_SCHEDULERS)
+            {
+                let Some(to) = self.recipient(&name).filter(|_| name != self.instance) else {
+                    continue;
+                };
+                let limits = self.known_limits().untold(&shard.name, &to, clock::now());
+                if limits.is_empty() {
+                    continue;
+                }
+                let links = self.links.clone();
+                sent.spawn(async move {
+                    let message = Message::Limits(limits.clone());
+                    let reply = links.ask(&to.0, &message, FIRST_REPLY_TIMEOUT).await;
+                    (to, limits, reply)
+                });
+            }
+        }
+        while let Some(done) = sent.join_next().await {
+            match done {
+                Ok((to, limits, Ok(_))) => self.known_limits().mark_told(&limits, &to),
+                // Tried again with the next period.
+                Ok((to, _, Err(e))) => {
+                    debug!(peer:% = to.0, error:% = e; "cannot tell a scheduler of limits")
+                }
+                Err(e) => warn!(error:% = e; "telling a scheduler of limits failed"),
+            }
+        }
+    }
+
     fn recipient(&self, scheduler: &InstanceName) -> Option<Recipient> {
         let view = self.directory.view();
         let member = view.members.get(scheduler)?;
--- a/crates/lab/tests/limit_storms.rs
+++ b/crates/lab/tests/limit_storms.rs
@@ -25,6 +25,10 @@
 const REPLY_TIMEOUT_MS: f64 = 350.0;
 const AVOID_MS: f64 = 2000.0;
 const MAX_REMOTE_SCHEDULERS: usize = 4;
+/// Time after which the links to a scheduler that hangs break.
+const LINK_TIMEOUT_MS: f64 = 700.0;
+/// Schedulers of a shard that are told of limits before they get an offer.
+const INFORMED_SCHEDULERS: usize = 2;
 /// A machine is in touch if nothing has happened to it for this time, and requests count from this
 /// time after a target first named its limit.
 const STABLE_WINDOW_MS: f64 = 3000.0;
@@ -227,6 +231,9 @@
             if tick.is_multiple_of(50) {
                 self.set_shares();
             }
+            if tick.is_multiple_of(30) {
+                self.spread_limits();
+            }
             self.accept();
             self.retry_unanswered();
             self.poll();
@@ -384,6 +391,49 @@
         }
     }
 
+    // Tells the schedulers of each shard, and their successors, of limits.
+    fn spread_limits(&mut self) {
+        for home in 0..self.nodes.len() {
+            if !self.nodes[home].runs() {
+                continue;
+            }
+            for shard in self.nodes[home].known.shards() {
+                let shard: usize = shard.as_str()[6..].parse().unwrap();
+                let ranked = self.ranked[shard].iter().copied();
+                let believed: Vec<_> = ranked
+                    .filter(|n| self.believes_active(home, *n))
+                    .take(INFORMED_SCHEDULERS)
+                    .collect();
+                for to in believed {
+                    if to != home && self.connected(home, to) && self.nodes[to].runs() {
+                        self.tell(home, to, shard);
+                    }
+                }
+            }
+        }
+    }
+
+    // Passes on the limits that a scheduler may not know.
+    fn tell(&mut self, home: usize, to: usize, shard: usize) {
+        let now = at(self.now);
+        let recipient: Recipient = (node_name(to), Incarnation(self.nodes[to].incarnation));
+        let pool = shard_name(shard);
+        let notices = self.nodes[home].known.untold(&pool, &recipient, now);
+        self.nodes[home].known.mark_told(&notices, &recipient);
+        let share = self.visible_share(to);
+        let node = &mut self.nodes[to];
+        if node.shards.insert(shard) {
+            let first = shard * SHARD_TARGETS;
+            let range = first..(first + SHARD_TARGETS).min(self.storm.targets);
+            let infos = range.map(|n| target_info(n, self.storm.slots)).collect();
+            node.scheduler.set_targets(&pool, infos);
+            node.scheduler.set_visible_share(share, now);
+        }
+        for notice in &notices {
+            node.scheduler.learn_limit(notice, now);
+        }
+    }
+
     fn accept(&mut self) {
         let mut expected = self.storm.per_s * STEP_MS / 1000.0;
         while expected > 0.0 && self.rng.random_bool(expected.min(1.0)) {
@@ -465,25 +515,8 @@
         };
         let now = at(self.now);
         let incarnation = self.nodes[to].incarnation;
-        let recipient: Recipient = (node_name(to), Incarnation(incarnation));
-        let notices = self.nodes[home]
-            .known
-            .untold(&shard_name(shard), &recipient, now);
-        self.nodes[home].known.mark_told(&notices, &recipient);
-        let share = self.visible_share(to);
+        self.tell(home, to, shard);
         let node = &mut self.nodes[to];
-        if node.shards.insert(shard) {
-            let first = shard * SHARD_TARGETS;
-            let range = first..(first + SHARD_TARGETS).min(self.storm.targets);
-            node.scheduler.set_targets(
-                &shard_name(shard),
-                range.map(|n| target_info(n, self.storm.slots)).collect(),
-            );
-            node.scheduler.set_visible_share(share, now);
-        }
-        for notice in &notices {
-            node.scheduler.learn_limit(notice, now);
-        }
         let offer = node.scheduler.offer(offer, now);
         node.queued.insert(offer, id);
         self.set_state(
@@ -504,8 +537,10 @@
                 incarnation,
             } => {
                 let node = &self.nodes[scheduler];
-                let is_lost =
-                    node.incarnation != incarnation || !self.connected(call.home, scheduler);
+                let hangs = node.is(Fault::Frozen) && self.now > node.fault_began + LINK_TIMEOUT_MS;
+                let is_lost = hangs
+                    || node.incarnation != incarnation
+                    || !self.connected(call.home, scheduler);
                 is_lost.then_some((*id, 0))
             }
             State::Sent { .. } => None,
@@ -614,10 +649,13 @@
             let t = &mut self.targets[target];
             let report = match (is_broken, t.limit) {
                 (true, _) => LimitReport::Unknown,
-                (false, Some(per_s)) => LimitReport::Limited(RequestRate::new(per_s).unwrap()),
+                (false, Some(per_s)) => LimitReport::Limited {
+                    limit: RequestRate::new(per_s).unwrap(),
+                    after_ms: self.now - sent,
+                },
                 (false, None) => LimitReport::Unlimited,
             };
-            if matches!(report, LimitReport::Limited(_)) {
+            if matches!(report, LimitReport::Limited { .. }) {
                 t.told_at.entry(home).or_insert(self.now);
             }
             let by = (node_name(scheduler), Incarnation(incarnation));
@@ -808,6 +846,10 @@
 #[test]
 fn limits_of_slow_targets_hold_while_their_schedulers_change() {
     check_seeds(faults(slow(small())), seeds(8));
+    // A scheduler was frozen while a limit fell, and granted by the old one when it was thawed.
+    for seed in [120, 144] {
+        check_seeds(faults(slow(small())), seed..seed + 1);
+    }
 }
 
 #[test]
--- a/crates/placement/src/request_limit.rs
+++ b/crates/placement/src/request_limit.rs
@@ -3,9 +3,9 @@
 //! A target in need names its limit in its responses. The scheduler that grants its
 //! slots keeps to the limit, as it counts the requests of all nodes. Each node
 //! remembers the limits that were named to it, and passes them on to schedulers that
-//! may not know them: after a failover, the successor knows nothing else.
+//! may not know them: a successor, or one that was suspended meanwhile.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rwd_types::{Incarnation, InstanceName, PoolName, RequestRate, TargetName};
 use serde::{Deserialize, Serialize};
 
@@ -32,7 +32,13 @@
     /// The target names no limit.
     Unlimited,
     /// The target names a limit for all nodes together.
-    Limited(RequestRate),
+    Limited {
+        /// The limit.
+        limit: RequestRate,
+        /// Milliseconds from the dispatch of the request to the response. A scheduler that was
+        /// suspended gets reports late.
+        after_ms: f64,
+    },
 }
 
 /// What a node knows about a target's limit.
@@ -42,17 +48,75 @@
     pub target: TargetName,
     /// Its limit; `None` if it has ended.
     pub limit: Option<RequestRate>,
-    /// Milliseconds since the limit was named, or since the request was sent whose response named
-    /// none.
-    pub age_ms: f64,
+    /// Milliseconds since the request was sent whose response says so.
+    pub sent_ms_ago: f64,
+    /// Milliseconds since that response arrived.
+    pub seen_ms_ago: f64,
+}
+
+/// What one response says about its target's limit.
+#[derive(Clone, Copy, Debug)]
+struct Observation {
+    limit: Option<RequestRate>,
+    // When the request was sent, and when the response arrived.
+    sent: Timestamp,
+    seen: Timestamp,
+}
+
+impl Observation {
+    fn new(report: LimitReport, sent: Timestamp, now: Timestamp) -> Option<Self> {
+        let (limit, seen) = match report {
+            LimitReport::Unknown => return None,
+            LimitReport::Unlimited => (None, now),
+            LimitReport::Limited { limit, after_ms } if sent + after_ms < now => {
+                (Some(limit), sent + after_ms)
+            }
+            LimitReport::Limited { limit, .. } => (Some(limit), now),
+        };
+        Some(Self { limit, sent, seen })
+    }
+
+    // The order of two responses is certain only if the request of one was sent after the other had
+    // arrived: responses are delayed, and suspended nodes read them late. Where it is not, the
+    // lower limit holds.
+    fn supersedes(&self, known: &Self) -> bool {
+        let is_lower = match (self.limit, known.limit) {
+            (Some(limit), Some(known)) => limit < known,
+            (limit, known) => limit.is_some() && known.is_none(),
+        };
+        // A limit may have begun at any time since the request was sent whose response named none.
+        let known_since = match known.limit {
+            Some(_) => known.seen,
+            None => known.sent,
+        };
+        self.sent >= known.seen || (is_lower && self.seen > known_since)
+    }
+
+    // Merges a later observation into what is known; returns whether the limit changed.
+    fn merge(&mut self, new: Self) -> bool {
+        let before = self.limit;
+        if new.supersedes(self) || (new.limit == before && new.seen > self.seen) {
+            *self = new;
+        }
+        self.limit != before
+    }
+}
+
+impl Default for Observation {
+    fn default() -> Self {
+        let never = Timestamp(f64::NEG_INFINITY);
+        Self {
+            limit: None,
+            sent: never,
+            seen: never,
+        }
+    }
 }
 
 /// A token bucket with the limit of one target.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestLimit {
-    rate: Option<RequestRate>,
-    /// When the limit was last named, or when the request was sent whose response named none.
-    as_of: Timestamp,
+    known: Observation,
     /// Fraction of the limit that this scheduler may use.
     share: f64,
     tokens: f64,
@@ -63,8 +127,7 @@
     /// No limit; of later ones the scheduler may use a fraction of `share`.
     pub fn new(share: f64) -> Self {
         Self {
-            rate: None,
-            as_of: Timestamp(f64::NEG_INFINITY),
+            known: Observation::default(),
             share,
             tokens: 0.0,
             filled_at: Timestamp::default(),
@@ -73,7 +136,7 @@
 
     /// The limit, if the target has one.
     pub fn rate(&self) -> Option<RequestRate> {
-        self.rate
+        self.known.limit
     }
 
     /// The fraction of the limit that this scheduler may use.
@@ -89,46 +152,34 @@
 
     /// Applies a report from the response to a request that was sent at `sent`.
     pub fn report(&mut self, report: LimitReport, sent: Timestamp, now: Timestamp) {
-        match report {
-            LimitReport::Unknown => (),
-            LimitReport::Limited(rate) => self.set(rate, now, now),
-            LimitReport::Unlimited => self.end(sent),
+        if let Some(new) = Observation::new(report, sent, now) {
+            self.merge(new, now);
         }
     }
 
     /// Applies what another node knows.
     pub fn learn(&mut self, notice: &LimitNotice, now: Timestamp) {
-        let as_of = now + -notice.age_ms;
-        match notice.limit {
-            Some(rate) => self.set(rate, as_of, now),
-            None => self.end(as_of),
-        }
+        let new = Observation {
+            limit: notice.limit,
+            sent: now + -notice.sent_ms_ago,
+            seen: now + -notice.seen_ms_ago,
+        };
+        self.merge(new, now);
     }
 
-    fn set(&mut self, rate: RequestRate, as_of: Timestamp, now: Timestamp) {
-        if as_of <= self.as_of {
-            return;
-        }
-        match self.rate {
-            Some(_) => self.refill(now),
+    fn merge(&mut self, new: Observation, now: Timestamp) {
+        self.refill(now);
+        let was_limited = self.rate().is_some();
+        self.known.merge(new);
+        self.tokens = match was_limited {
+            true => self.tokens.min(self.burst()),
             // Another scheduler may have used the limit up until now.
-            None => (self.tokens, self.filled_at) = (0.0, now),
-        }
-        self.as_of = as_of;
-        self.rate = Some(rate);
-        self.tokens = self.tokens.min(self.burst());
-    }
-
-    // A response to a request from before the limit was named may just have been slow.
-    fn end(&mut self, sent: Timestamp) {
-        if sent >= self.as_of {
-            self.as_of = sent;
-            self.rate = None;
-        }
+            false => 0.0,
+        };
     }
 
     fn per_ms(&self) -> f64 {
-        let per_s = self.rate.map_or(0.0, RequestRate::per_s);
+        let per_s = self.rate().map_or(0.0, RequestRate::per_s);
         per_s.max(MIN_RATE_PER_S) * self.share / 1000.0
     }
 
@@ -148,12 +199,12 @@
 
     /// Whether one more request may be sent.
     pub fn allows(&self, now: Timestamp) -> bool {
-        self.rate.is_none() || self.tokens(now) >= 1.0
+        self.rate().is_none() || self.tokens(now) >= 1.0
     }
 
     /// Counts a request that is sent.
     pub fn take(&mut self, now: Timestamp) {
-        if self.rate.is_some() {
+        if self.rate().is_some() {
             self.refill(now);
             self.tokens -= 1.0;
         }
@@ -170,8 +221,7 @@
 pub type Recipient = (InstanceName, Incarnation);
 
 struct KnownLimit {
-    limit: Option<RequestRate>,
-    as_of: Timestamp,
+    known: Observation,
     // The shard of the target, whose scheduler is to know the limit.
     shard: PoolName,
     // The schedulers that know it.
@@ -196,25 +246,20 @@
         reported_to: Option<Recipient>,
         now: Timestamp,
     ) -> bool {
-        let known = self.limits.get_mut(target);
-        let (limit, as_of) = match (report, known) {
-            (LimitReport::Unknown, _) | (LimitReport::Unlimited, None) => return false,
-            (LimitReport::Limited(rate), Some(known)) if known.limit == Some(rate) => {
-                known.as_of = now;
-                return false;
-            }
-            (LimitReport::Limited(rate), _) => (Some(rate), now),
-            (LimitReport::Unlimited, Some(known))
-                if known.limit.is_some() && sent >= known.as_of =>
-            {
-                (None, sent)
-            }
-            (LimitReport::Unlimited, Some(_)) => return false,
+        let Some(new) = Observation::new(report, sent, now) else {
+            return false;
+        };
+        let known = match self.limits.get_mut(target) {
+            Some(l) => match l.known.merge(new) {
+                true => l.known,
+                false => return false,
+            },
+            None if new.limit.is_none() => return false,
+            None => new,
         };
         self.expire(now);
         let known = KnownLimit {
-            limit,
-            as_of,
+            known,
             shard: shard.clone(),
             told: reported_to.into_iter().collect(),
         };
@@ -223,15 +268,20 @@
     }
 
     fn expire(&mut self, now: Timestamp) {
-        self.limits.retain(|_, known| {
-            let retention_ms = match known.limit {
+        self.limits.retain(|_, l| {
+            let retention_ms = match l.known.limit {
                 Some(_) => RETENTION_MS,
                 None => ENDED_RETENTION_MS,
             };
-            now - known.as_of < retention_ms
+            now - l.known.seen < retention_ms
         });
     }
 
+    /// The shards that have targets with limits.
+    pub fn shards(&self) -> IndexSet<PoolName> {
+        self.limits.values().map(|k| k.shard.clone()).collect()
+    }
+
     /// The limits of a shard's targets that a scheduler has not been told.
     pub fn untold(&mut self, shard: &PoolName, to: &Recipient, now: Timestamp) -> Vec<LimitNotice> {
         if self.limits.is_empty() {
@@ -239,11 +289,12 @@
         }
         self.expire(now);
         let limits = self.limits.iter();
-        let untold = limits.filter(|(_, known)| known.shard == *shard && !known.told.contains(to));
-        let notices = untold.map(|(target, known)| LimitNotice {
+        let untold = limits.filter(|(_, l)| l.shard == *shard && !l.told.contains(to));
+        let notices = untold.map(|(target, l)| LimitNotice {
             target: target.clone(),
-            limit: known.limit,
-            age_ms: now - known.as_of,
+            limit: l.known.limit,
+            sent_ms_ago: now - l.known.sent,
+            seen_ms_ago: now - l.known.seen,
         });
         notices.collect()
     }
@@ -251,10 +302,10 @@
     /// Records that a scheduler has been told.
     pub fn mark_told(&mut self, notices: &[LimitNotice], to: &Recipient) {
         for notice in notices {
-            if let Some(known) = self.limits.get_mut(&notice.target)
-                && known.limit == notice.limit
+            if let Some(l) = self.limits.get_mut(&notice.target)
+                && l.known.limit == notice.limit
             {
-                known.told.push(to.clone());
+                l.told.push(to.clone());
             }
         }
     }
--- a/crates/placement/tests/placement/limits.rs
+++ b/crates/placement/tests/placement/limits.rs
@@ -12,7 +12,9 @@
 }
 
 fn limited(per_s: f64) -> LimitReport {
-    LimitReport::Limited(rate(per_s))
+    let limit = rate(per_s);
+    let after_ms = 1e9;
+    LimitReport::Limited { limit, after_ms }
 }
 
 /// Sends a request at `ms` whose response reports `report`; none if it is not granted.
@@ -144,7 +146,8 @@
     let notice = LimitNotice {
         target: name("a"),
         limit: Some(rate(2.0)),
-        age_ms: 10.0,
+        sent_ms_ago: 20.0,
+        seen_ms_ago: 10.0,
     };
     let untold = known.untold(&pool(), &recipient("s2", 1), at(20.0));
     assert_eq!(untold, [notice]);
@@ -171,39 +174,78 @@
     assert!(!known.record(&name("a"), &pool(), none, at(5.0), None, at(20.0)));
     assert!(known.record(&name("a"), &pool(), none, at(15.0), None, at(30.0)));
     let untold = known.untold(&pool(), &recipient("s1", 1), at(40.0));
-    assert_eq!(
-        untold,
-        [LimitNotice {
-            target: name("a"),
-            limit: None,
-            age_ms: 25.0
-        }]
-    );
-    assert!(
-        known
-            .untold(&pool(), &recipient("s1", 1), at(60_000.0))
-            .is_empty()
-    );
+    let notice = LimitNotice {
+        target: name("a"),
+        limit: None,
+        sent_ms_ago: 25.0,
+        seen_ms_ago: 10.0,
+    };
+    assert_eq!(untold, [notice]);
+    let later = at(60_000.0);
+    assert!(known.untold(&pool(), &recipient("s1", 1), later).is_empty());
 }
 
-#[test]
-fn a_scheduler_ignores_what_is_older_than_what_it_knows() {
-    let notice = |limit, age_ms| LimitNotice {
+/// A notice about a request that was sent at `sent`; its response arrived at `seen`.
+fn notice(limit: Option<f64>, sent: f64, seen: f64) -> LimitNotice {
+    LimitNotice {
         target: name("a"),
-        limit,
-        age_ms,
-    };
-    let limit = |s: &Scheduler| s.targets(&pool(), at(0.0))[0].limit;
+        limit: limit.map(rate),
+        sent_ms_ago: 1000.0 - sent,
+        seen_ms_ago: 1000.0 - seen,
+    }
+}
+
+/// The limit after these notices, in this order.
+fn after(notices: &[LimitNotice]) -> Option<f64> {
     let mut s = scheduler(vec![target("a", 4)]);
-    s.learn_limit(&notice(Some(rate(2.0)), 100.0), at(1000.0));
-    s.learn_limit(&notice(Some(rate(3.0)), 200.0), at(1000.0));
-    assert_eq!(limit(&s), Some(rate(2.0)));
-    s.learn_limit(&notice(None, 150.0), at(1000.0));
-    assert_eq!(limit(&s), Some(rate(2.0)));
-    s.learn_limit(&notice(None, 50.0), at(1000.0));
-    assert_eq!(limit(&s), None);
-    s.learn_limit(&notice(Some(rate(2.0)), 60.0), at(1000.0));
-    assert_eq!(limit(&s), None);
+    for notice in notices {
+        s.learn_limit(notice, at(1000.0));
+    }
+    let limit = s.targets(&pool(), at(1000.0))[0].limit;
+    limit.map(RequestRate::per_s)
+}
+
+#[test]
+fn responses_that_overlap_lower_a_limit_but_do_not_raise_or_end_it() {
+    let low = notice(Some(2.0), 100.0, 200.0);
+    let overlapping = [notice(Some(3.0), 150.0, 300.0), notice(None, 150.0, 300.0)];
+    let later = [notice(Some(3.0), 210.0, 300.0), notice(None, 210.0, 300.0)];
+    for (o, l) in overlapping.into_iter().zip(later) {
+        assert_eq!(after(&[low.clone(), o.clone()]), Some(2.0));
+        assert_eq!(
+            after(&[low.clone(), l.clone()]),
+            l.limit.map(RequestRate::per_s)
+        );
+        assert_eq!(
+            after(&[l.clone(), low.clone()]),
+            l.limit.map(RequestRate::per_s)
+        );
+    }
+    let lower = notice(Some(1.0), 150.0, 300.0);
+    assert_eq!(after(&[low, lower]), Some(1.0));
+    // It may have begun after the request without one was sent.
+    let begun = notice(Some(2.0), 100.0, 250.0);
+    assert_eq!(after(&[notice(None, 200.0, 300.0), begun]), Some(2.0));
+}
+
+/// A scheduler that was suspended gets a report long after the response.
+#[test]
+fn a_late_report_does_not_replace_what_was_named_after_it() {
+    let mut s = scheduler(vec![target("a", 4)]);
+    let id = s.offer(offer(0), at(0.0));
+    s.poll(at(0.0));
+    let late = LimitReport::Limited {
+        limit: rate(9.0),
+        after_ms: 100.0,
+    };
+    s.record_limit(id, late, at(5000.0));
+    let named = LimitNotice {
+        sent_ms_ago: 4700.0,
+        seen_ms_ago: 4600.0,
+        ..notice(Some(1.0), 0.0, 0.0)
+    };
+    s.learn_limit(&named, at(5010.0));
+    assert_eq!(s.targets(&pool(), at(5010.0))[0].limit, Some(rate(1.0)));
 }
 
 proptest! {
@@ -221,7 +263,7 @@
         let mut allowed = Vec::new();
         let mut ms = 10.0;
         for (per_s, length, kind) in steps {
-            s.learn_limit(&LimitNotice { target: name("a"), limit: Some(rate(per_s)), age_ms: 0.0 }, at(ms));
+            s.learn_limit(&LimitNotice { target: name("a"), limit: Some(rate(per_s)), sent_ms_ago: 0.0, seen_ms_ago: 0.0 }, at(ms));
             let end = ms + length;
             while ms < end {
                 let id = s.offer(offer(0), at(ms));
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -383,6 +383,8 @@
         /// What the response says about the target's request limit.
         limit: rwd_placement::LimitReport,
     },
+    /// Limits of targets that the receiver may not know; the reply is [`Message::UpToDate`].
+    Limits(Vec<rwd_placement::LimitNotice>),
     /// Requests quota units from the workspace's quota coordinator.
     Demand {
         /// The workspace.
