Add failing tests of a store that is restored from an older copy

The fake store restores: its era rises, offsets are given out again, and reads beyond its end get 410.

--- a/crates/lab/src/site/store.rs
+++ b/crates/lab/src/site/store.rs
@@ -33,7 +33,7 @@
     Reset,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     records: Vec<(String, Vec<u8>)>,
     first: u64,
@@ -53,9 +53,27 @@
     newest: Mutex<Newest>,
     changed: watch::Sender<u64>,
     fault: watch::Sender<StoreFault>,
+    // Rises with each restore.
+    era: Mutex<u64>,
     calls: Mutex<u64>,
 }
 
+/// The content of a store at one time, from which it can be restored.
+#[derive(Clone)]
+pub struct StoreCopy {
+    topics: IndexMap<String, Topic>,
+    newest: Newest,
+}
+
+impl StoreCopy {
+    /// The copy without one topic, as if that had been created later.
+    pub fn without(mut self, topic: &str) -> Self {
+        self.topics.shift_remove(topic);
+        self.newest.retain(|(t, _), _| t != topic);
+        self
+    }
+}
+
 /// A running fake store; dropping it stops accepting connections.
 pub struct FakeStore {
     address: SocketAddr,
@@ -83,6 +101,7 @@
             newest: Mutex::default(),
             changed: watch::Sender::new(0),
             fault: watch::Sender::new(StoreFault::None),
+            era: Mutex::new(1),
             calls: Mutex::new(0),
         });
         let task = tokio::spawn(accept(listener, shared.clone())).abort_handle();
@@ -114,6 +133,37 @@
         self.shared.append(topic, key, value);
     }
 
+    /// Copies the content.
+    pub fn copy(&self) -> StoreCopy {
+        let topics = lock(&self.shared.topics);
+        StoreCopy {
+            topics: topics.clone(),
+            newest: lock(&self.shared.newest).clone(),
+        }
+    }
+
+    /// Replaces the content by an earlier copy and begins a new era.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut topics = lock(&self.shared.topics);
+        *topics = copy.topics.clone();
+        *lock(&self.shared.newest) = copy.newest.clone();
+        *lock(&self.shared.era) += 1;
+        drop(topics);
+        self.shared.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Waits for the next change of any topic.
+    pub async fn changed(&self) {
+        let mut changed = self.shared.changed.subscribe();
+        // Cannot fail: the sender lives as long as `self`.
+        let _ = changed.changed().await;
+    }
+
+    /// The end offset of a topic.
+    pub fn end(&self, topic: &str) -> u64 {
+        lock(&self.shared.topics).get(topic).map_or(0, Topic::end)
+    }
+
     /// The keys of a topic that have a value.
     pub fn keys(&self, topic: &str) -> Vec<String> {
         let newest = lock(&self.shared.newest);
@@ -186,7 +236,7 @@
         pairs.find(|(k, _)| *k == name).map(|(_, v)| v.to_owned())
     };
     let topic = param("topic").unwrap_or_default();
-    Ok(match (parts.method, parts.uri.path()) {
+    let mut response = match (parts.method, parts.uri.path()) {
         (Method::GET, "/api/log-newest") => newest(&shared, &topic),
         (Method::GET, "/api/log-read") => {
             let from = param("from").and_then(|v| v.parse().ok()).unwrap_or(0);
@@ -198,7 +248,10 @@
             Err(_) => status(StatusCode::BAD_REQUEST),
         },
         _ => status(StatusCode::NOT_FOUND),
-    })
+    };
+    let era = *lock(&shared.era);
+    response.headers_mut().insert("Store-Era", era.into());
+    Ok(response)
 }
 
 fn newest(shared: &Shared, topic: &str) -> StoreResponse {
@@ -219,7 +272,7 @@
     let has_update = |topics: &IndexMap<String, Topic>| {
         topics
             .get(topic)
-            .is_some_and(|t| t.end() > from || t.first > from)
+            .is_some_and(|t| t.end() != from || t.first > from)
     };
     let updated = async {
         while !has_update(&lock(&shared.topics)) {
@@ -233,7 +286,7 @@
     let topics = lock(&shared.topics);
     let empty = Topic::default();
     let log = topics.get(topic).unwrap_or(&empty);
-    if from < log.first {
+    if from < log.first || from > log.end() {
         return status(StatusCode::GONE);
     }
     let mut buf = BytesMut::new();
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -6,5 +6,6 @@
 mod large_configuration;
 mod nodes;
 mod requests;
+mod restored_store;
 mod store;
 mod target_limits;
