Read the store again as a whole when it comes back from an older copy

It also confirmed its replica as the newest. Only a log that ended before the offset was noticed.

A position holds in one era now: a read of another era is discarded and the newest records are read. Nodes pass the era on. For 2 s after a restore, the time that the users' pages give targets to register again, targets that the copy lacks are kept, and no version counts as confirmed; then the registry is read again as a whole.

--- a/crates/edge/src/http_client.rs
+++ b/crates/edge/src/http_client.rs
@@ -2,7 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use compact_str::ToCompactString;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -89,7 +89,7 @@
         Ok(serde_json::from_slice(&body)?)
     }
 
-    /// Sends a request and returns the status and the complete body of the response.
+    /// Sends a request and returns the complete response.
     ///
     /// `limit` is the time until the head of the response, and again between two pieces of its
     /// body: how long the whole body takes depends on its size and on the network.
@@ -103,14 +103,13 @@
         &self,
         req: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes)> {
+    ) -> Result<Response<Bytes>> {
         let call = async {
             let head = timeout(limit, self.send(req)).await;
             let response = head.map_err(|_| Error::Timeout)??;
-            Ok((
-                response.status(),
-                read_body_in_pieces(response, limit).await?,
-            ))
+            let (parts, body) = response.into_parts();
+            let body = read_body_in_pieces(body, limit).await?;
+            Ok(Response::from_parts(parts, body))
         };
         timeout(MAX_CALL_TIME, call)
             .await
@@ -126,8 +125,8 @@
     Ok(collected.to_bytes())
 }
 
-async fn read_body_in_pieces(response: Response<Incoming>, limit: Duration) -> Result<Bytes> {
-    let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+async fn read_body_in_pieces(body: Incoming, limit: Duration) -> Result<Bytes> {
+    let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
     let mut buf = BytesMut::new();
     loop {
         let frame = timeout(limit, body.frame()).await;
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -8,7 +8,9 @@
 use derive_more::{Display, Error, From};
 use http::{HeaderMap, request, response};
 use rwd_placement::{PromptPart, TargetEntry};
-use rwd_types::{RateError, RegionName, RequestRate, TargetName, WorkspaceName, ZoneName};
+use rwd_types::{
+    RateError, RegionName, RequestRate, StoreEra, TargetName, WorkspaceName, ZoneName,
+};
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -210,13 +212,23 @@
     Other,
 }
 
+/// A position in the log of a feed. A store that comes back from an older copy gives offsets out
+/// again, so that an offset holds for one era only.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Position {
+    /// The era.
+    pub era: StoreEra,
+    /// The number of records before it.
+    pub offset: u64,
+}
+
 /// Consecutive records and the position after them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Batch {
     /// The records.
     pub records: Vec<Record>,
-    /// Position of the next read.
-    pub next: u64,
+    /// Position of the next read. Its era is that of the response.
+    pub next: Position,
 }
 
 /// Client of the platform's store.
@@ -232,7 +244,7 @@
     fn read(
         &self,
         feed: Feed,
-        from: u64,
+        from: Position,
         wait: Duration,
         timeout: Duration,
     ) -> impl Future<Output = Result<Batch, StoreError>> + Send;
@@ -240,13 +252,14 @@
     /// Parses a configuration record that was received from another node.
     fn catalog(&self, source: Bytes) -> Record;
 
-    /// Adds this node to the list of nodes, or removes it if not `present`.
+    /// Adds this node to the list of nodes, or removes it if not `present`; returns the era in which
+    /// that was done.
     fn announce(
         &self,
         node: &ListedNode,
         present: bool,
         timeout: Duration,
-    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+    ) -> impl Future<Output = Result<StoreEra, StoreError>> + Send;
 
     /// Adds a block to those that starting nodes read with the list of nodes.
     fn record_block(
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,6 +5,7 @@
 use rwd_peer::{Directory, ListedInstance};
 use rwd_placement::Timestamp;
 use rwd_timer::Timer;
+use rwd_types::StoreEra;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +14,9 @@
 use crate::crash_sync::CrashGuard;
 use crate::limits::Limiter;
 use crate::settings::instance_name;
-use crate::{Feed, GatewaySettings, ListedNode, Record, Store, StoreError, StoreReplica, clock};
+use crate::{
+    Feed, GatewaySettings, ListedNode, Position, Record, Store, StoreError, StoreReplica, clock,
+};
 
 /// Long-poll time of a configuration read. A removed key must be rejected after at most
 /// [`crate::Bounds::key_removal_ms`], so the replica is confirmed several times in that time.
@@ -117,6 +120,13 @@
     }
 }
 
+// Whether records read from `from` on are of a later era than that. They do not follow those before
+// `from`: the records between may have changed.
+fn was_restored(replica: &StoreReplica, from: Option<Position>, next: Position) -> bool {
+    replica.observe_era(next.era);
+    from.is_some_and(|from| from.era != next.era)
+}
+
 /// Keeps the configuration up to date until the task is dropped.
 pub(crate) async fn configuration<S: Store>(
     store: Arc<S>,
@@ -126,7 +136,7 @@
 ) {
     let mut health = StoreHealth::new(Feed::Configuration, metrics);
     let mut backoff = Backoff::default();
-    let mut next: Option<u64> = None;
+    let mut next: Option<Position> = None;
     let mut wait = CONFIG_WAIT;
     loop {
         if health.wait_until_reader(&mut reads).await {
@@ -142,6 +152,7 @@
             }
         };
         match result {
+            Ok(batch) if was_restored(&replica, next, batch.next) => next = None,
             Ok(batch) => {
                 health.record_success(requested_at);
                 backoff.reset();
@@ -186,7 +197,9 @@
     let mut health = StoreHealth::new(Feed::Targets, metrics);
     let mut backoff = Backoff::default();
     let mut ticks = timer.every(TARGETS_PERIOD);
-    let mut next: Option<u64> = None;
+    let mut next: Option<Position> = None;
+    // When the list is read again as a whole, after a restore of the store.
+    let mut relist_at: Option<Timestamp> = None;
     // Entries that expired while the store was unavailable get time to return.
     let mut grace_until = Timestamp::default();
     loop {
@@ -194,6 +207,9 @@
             next = None;
         }
         let requested_at = clock::now();
+        if relist_at.is_some_and(|at| requested_at >= at) {
+            next = None;
+        }
         let result = match next {
             None => store.newest(Feed::Targets, CALL_TIMEOUT).await,
             Some(from) => {
@@ -202,6 +218,7 @@
             }
         };
         match result {
+            Ok(batch) if was_restored(&replica, next, batch.next) => next = None,
             Ok(batch) => {
                 if health.record_success(requested_at) {
                     grace_until = requested_at + OUTAGE_MS;
@@ -209,7 +226,10 @@
                 backoff.reset();
                 let within_grace = requested_at < grace_until;
                 match next {
-                    None => replica.replace_targets(batch.records, within_grace),
+                    None => {
+                        relist_at = replica.rewritten_at();
+                        replica.replace_targets(batch.records, within_grace);
+                    }
                     Some(_) => replica.apply_targets(batch.records, within_grace),
                 }
                 next = Some(batch.next);
@@ -225,65 +245,86 @@
     }
 }
 
-/// Announces this node and discovers others from store and seeds, until the task is dropped.
-pub(crate) async fn nodes<S: Store>(
-    store: Arc<S>,
-    cfg: GatewaySettings,
-    directory: Arc<Directory>,
-    limiter: Arc<Limiter>,
-    crash_guard: Arc<CrashGuard>,
-    timer: Timer,
-    has_list: watch::Sender<bool>,
-) {
-    let mut announced = false;
-    let mut ticks = timer.every(NODES_PERIOD);
-    let own = cfg.node_entry();
-    // The settings give only the addresses of seeds.
-    let seeds = cfg.seeds.iter().map(|peer| ListedNode {
-        peer: *peer,
-        cpu_milli: 0,
-        ..own.clone()
-    });
-    let seeds: Vec<_> = seeds.collect();
-    apply_nodes(&cfg, &directory, &seeds);
-    loop {
-        if !announced {
+/// Announces one node in the store's list of nodes, and discovers others from the list and seeds.
+pub(crate) struct NodeList<S> {
+    pub store: Arc<S>,
+    pub cfg: GatewaySettings,
+    pub directory: Arc<Directory>,
+    pub limiter: Arc<Limiter>,
+    pub crash_guard: Arc<CrashGuard>,
+    /// Whether the list has been read.
+    pub has_list: watch::Sender<bool>,
+}
+
+impl<S: Store> NodeList<S> {
+    /// Runs until the task is dropped.
+    pub async fn run(self, timer: Timer) {
+        let mut announced = None;
+        let mut ticks = timer.every(NODES_PERIOD);
+        let own = self.cfg.node_entry();
+        // The settings give only the addresses of seeds.
+        let seeds = self.cfg.seeds.iter().map(|peer| ListedNode {
+            peer: *peer,
+            cpu_milli: 0,
+            ..own.clone()
+        });
+        let seeds: Vec<_> = seeds.collect();
+        apply_nodes(&self.cfg, &self.directory, &seeds);
+        loop {
             // Announced before the list is read, so that nodes that start together find each other.
-            match store.announce(&own, true, CALL_TIMEOUT).await {
-                Ok(()) => announced = true,
-                Err(e) => warn!(event = "announce", error:% = e; "cannot announce this node"),
+            announced = self.announce(&own, announced).await;
+            let alone = self.directory.view().members.len() < 2;
+            if alone || !*self.has_list.borrow() {
+                self.read(&own, &seeds).await;
             }
+            ticks.tick().await;
         }
-        let alone = directory.view().members.len() < 2;
-        let listed = *has_list.borrow();
-        if alone || !listed {
-            match store.newest(Feed::Nodes, CALL_TIMEOUT).await {
-                Ok(batch) => {
-                    let (mut nodes, mut blocks) = (Vec::new(), Vec::new());
-                    for record in batch.records {
-                        match record {
-                            Record::Node(node) => nodes.push(node),
-                            Record::Block(block) => blocks.push(block),
-                            _ => (),
-                        }
-                    }
-                    crash_guard.restore(blocks);
-                    for known in seeds.iter().chain([&own]) {
-                        if nodes.iter().all(|n| n.peer != known.peer) {
-                            nodes.push(known.clone());
-                        }
-                    }
-                    if !listed {
-                        limiter.set_listed_nodes(nodes.len());
-                    }
-                    apply_nodes(&cfg, &directory, &nodes);
-                    has_list.send_replace(true);
-                }
-                Err(StoreError::Gone) => (),
-                Err(e) => warn!(event = "nodes", error:% = e; "cannot read the list of nodes"),
+    }
+
+    // Adds this node's entry, unless the store has it since the era `announced`; a restored store may
+    // have lost it. Returns the era in which the entry was added last.
+    async fn announce(&self, own: &ListedNode, announced: Option<StoreEra>) -> Option<StoreEra> {
+        match announced {
+            None => (),
+            Some(_) => return announced,
+        }
+        match self.store.announce(own, true, CALL_TIMEOUT).await {
+            Ok(era) => Some(era),
+            Err(e) => {
+                warn!(event = "announce", error:% = e; "cannot announce this node");
+                announced
+            }
+        }
+    }
+
+    async fn read(&self, own: &ListedNode, seeds: &[ListedNode]) {
+        let batch = match self.store.newest(Feed::Nodes, CALL_TIMEOUT).await {
+            Ok(batch) => batch,
+            Err(StoreError::Gone) => return,
+            Err(e) => {
+                warn!(event = "nodes", error:% = e; "cannot read the list of nodes");
+                return;
+            }
+        };
+        let (mut nodes, mut blocks) = (Vec::new(), Vec::new());
+        for record in batch.records {
+            match record {
+                Record::Node(node) => nodes.push(node),
+                Record::Block(block) => blocks.push(block),
+                _ => (),
+            }
+        }
+        self.crash_guard.restore(blocks);
+        for known in seeds.iter().chain([own]) {
+            if nodes.iter().all(|n| n.peer != known.peer) {
+                nodes.push(known.clone());
             }
         }
-        ticks.tick().await;
+        if !*self.has_list.borrow() {
+            self.limiter.set_listed_nodes(nodes.len());
+        }
+        apply_nodes(&self.cfg, &self.directory, &nodes);
+        self.has_list.send_replace(true);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,8 +31,8 @@
 
 pub use crate::catalog::{Catalog, Limits, Pool, Quota, RetryPolicy, Route, Workspace};
 pub use crate::edge::{
-    BadRequest, Batch, Feed, ListedNode, Lookup, Protocol, Record, RequestHead, Store, StoreError,
-    StoredBlock, TargetRequestHead, TargetResponseHead,
+    BadRequest, Batch, Feed, ListedNode, Lookup, Position, Protocol, Record, RequestHead, Store,
+    StoreError, StoredBlock, TargetRequestHead, TargetResponseHead,
 };
 pub use crate::events::{Event, EventBuffer};
 pub use crate::gateway::{Aborted, Body};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
 use crate::catalog_sync::CatalogTransfer;
 use crate::connection::ConnectionPool;
 use crate::crash_sync::CrashGuard;
+use crate::follow::NodeList;
 use crate::gateway::{Body, Gateway};
 use crate::limits::Limiter;
 use crate::local_scheduler::LocalScheduler;
@@ -228,17 +229,21 @@
         let (store_client, entry) = (store.clone(), cfg.node_entry());
         let unlist = Arc::new(move || {
             let (store, entry) = (store_client.clone(), entry.clone());
-            async move { store.announce(&entry, false, UNLIST_TIMEOUT).await }.boxed()
+            async move {
+                store.announce(&entry, false, UNLIST_TIMEOUT).await?;
+                Ok(())
+            }
+            .boxed()
         });
-        tasks.spawn(follow::nodes(
+        let node_list = NodeList {
             store,
-            cfg.clone(),
-            directory.clone(),
-            limiter.clone(),
-            crash_guard.clone(),
-            timer.clone(),
+            cfg: cfg.clone(),
+            directory: directory.clone(),
+            limiter: limiter.clone(),
+            crash_guard: crash_guard.clone(),
             has_list,
-        ));
+        };
+        tasks.spawn(node_list.run(timer.clone()));
         tasks.spawn(apply_replica(
             replica.clone(),
             scheduler.clone(),
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use log::{info, warn};
 use rwd_placement::{TargetEntry, Timestamp};
-use rwd_types::{PoolName, TargetName};
+use rwd_types::{PoolName, StoreEra, TargetName};
 use rwd_wire::{StoreCursor, StoreUpdate};
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::watch;
@@ -16,8 +16,11 @@
 /// Maximum number of versions of the configuration whose sources are kept for followers. A transfer
 /// must end although versions follow each other several times a second.
 const MAX_SOURCES: usize = 8;
-/// Maximum number of removed targets kept in the change index for followers.
+/// Maximum number of removed targets that are remembered.
 const MAX_REMOVED: usize = 512;
+/// How long the operator and the targets may take to write again what a store has lost that came
+/// back from an older copy, in milliseconds.
+const REWRITE_MS: f64 = 2000.0;
 
 #[derive(Default)]
 struct Inner {
@@ -26,6 +29,9 @@
     // Sources of the active version and those before it, oldest first. Followers may still be
     // receiving an earlier one.
     sources: Vec<Arc<CatalogSource>>,
+    // The store's latest era that is known, and when it was first seen if that was not the first one.
+    store_era: Option<StoreEra>,
+    restored_at: Option<Timestamp>,
     targets: IndexMap<TargetName, TargetEntry>,
     targets_as_of: Option<Timestamp>,
     // Entries that disappeared from the registry, and when each is removed.
@@ -95,6 +101,37 @@
         inner.catalog.is_some() && inner.targets_as_of.is_some()
     }
 
+    /// Records the era of a response of the store, or the latest one that another node knows. Returns
+    /// whether the store has come back from an older copy.
+    pub fn observe_era(&self, era: StoreEra) -> bool {
+        let mut inner = self.lock();
+        let before = inner.store_era;
+        if before.is_some_and(|known| known >= era) {
+            return false;
+        }
+        inner.store_era = Some(era);
+        let Some(before) = before else {
+            return false;
+        };
+        inner.restored_at = Some(clock::now());
+        let version = inner.catalog.as_ref().map(|c| c.version);
+        info!(event = "store_restored", era:% = era, before:% = before, version:?, targets = inner.targets.len(); "the store has come back from an older copy");
+        drop(inner);
+        self.notify();
+        true
+    }
+
+    /// The store's latest era that this node knows.
+    pub fn store_era(&self) -> Option<StoreEra> {
+        self.lock().store_era
+    }
+
+    /// When a restored store will hold again what the operator and the targets had written to it,
+    /// if that is not yet so.
+    pub fn rewritten_at(&self) -> Option<Timestamp> {
+        self.lock().rewritten_at()
+    }
+
     /// Activates a version of the configuration if it is newer than the active one.
     pub fn apply_catalog(&self, catalog: Catalog) {
         let mut inner = self.lock();
@@ -114,8 +151,13 @@
     }
 
     /// Records that the configuration was the newest at `as_of`.
+    ///
+    /// Without effect if a restored store may have lacked newer versions at that time.
     pub fn confirm_catalog(&self, as_of: Timestamp) {
         let mut inner = self.lock();
+        if inner.restored_at.is_some_and(|at| as_of < at + REWRITE_MS) {
+            return;
+        }
         inner.catalog_as_of = max_timestamp(inner.catalog_as_of, as_of);
     }
 
@@ -141,7 +183,11 @@
         let listed: Vec<_> = listed_names.collect();
         inner.apply_records(records, now, return_grace_ms(after_outage));
         let absent = inner.targets.keys().filter(|name| !listed.contains(name));
-        let absent: Vec<_> = absent.cloned().collect();
+        // A restored store lacks targets that registered after the copy was made.
+        let absent: Vec<_> = match inner.rewritten_at() {
+            Some(_) => Vec::new(),
+            None => absent.cloned().collect(),
+        };
         for name in absent {
             inner
                 .missing
@@ -223,6 +269,7 @@
         let targets = targets.filter(|(_, entry)| !whole || entry.is_some());
         let age = |as_of: Option<Timestamp>| as_of.map(|t| clock::now() - t);
         StoreUpdate {
+            store_era: inner.store_era,
             catalog: catalog.map(|c| c.version),
             catalog_age_ms: age(inner.catalog_as_of),
             whole,
@@ -251,6 +298,11 @@
 }
 
 impl Inner {
+    fn rewritten_at(&self) -> Option<Timestamp> {
+        let at = self.restored_at? + REWRITE_MS;
+        (clock::now() < at).then_some(at)
+    }
+
     fn apply_records(&mut self, records: Vec<Record>, now: Timestamp, grace_ms: f64) -> bool {
         let mut changed = false;
         for record in records {
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -179,6 +179,16 @@
         }
     }
 
+    // Applies what an update says about the store's era and the version of the configuration.
+    fn observe(&self, from: &InstanceName, update: &StoreUpdate, as_of: Option<Timestamp>) {
+        if let Some(era) = update.store_era {
+            self.replica.observe_era(era);
+        }
+        if let Some(version) = update.catalog {
+            self.transfer.announce(version, from, as_of);
+        }
+    }
+
     // A node that is not leaving, of any group.
     fn random_peer(&self) -> Option<InstanceName> {
         let view = self.directory.view();
@@ -259,10 +269,8 @@
     // Returns whether the target entries were applied.
     fn apply(&self, from: &InstanceName, update: StoreUpdate, requested_at: Timestamp) -> bool {
         let replied_at = requested_at + update.held_ms;
-        if let Some(version) = update.catalog {
-            let as_of = update.catalog_age_ms.map(|age_ms| replied_at + -age_ms);
-            self.transfer.announce(version, from, as_of);
-        }
+        let as_of = update.catalog_age_ms.map(|age_ms| replied_at + -age_ms);
+        self.observe(from, &update, as_of);
         let records = update.targets.into_iter();
         let records = records
             .map(|(name, entry)| Record::Target(name, entry))
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,5 +16,5 @@
 pub use crate::outcome::{Executed, Problem, ProblemKind};
 pub use crate::quantity::{
     BlockHash, ByteSize, Incarnation, LogOffset, Millis, RateError, RequestRate, Revision,
-    SessionId, TierRank, TokenRate, Tokens,
+    SessionId, StoreEra, TierRank, TokenRate, Tokens,
 };
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -32,6 +32,8 @@
     Revision(u64, "{}"),
     /// An offset in a stream of the platform's log.
     LogOffset(u64, "{}"),
+    /// Number of times that the platform's store has come back from an older copy.
+    StoreEra(u64, "{}"),
     /// Identifies a process among those that ran under one instance name; later ones are higher.
     Incarnation(u64, "{}"),
     /// Identifies a key prefix among those of one home node.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -3,13 +3,13 @@
 use compact_str::CompactString;
 use rwd_types::{
     BlockHash, Incarnation, InstanceName, LogOffset, Millis, PoolName, Problem, RegionName,
-    RequestKey, Revision, TargetName, TierRank, Tokens, WorkspaceName, ZoneName,
+    RequestKey, Revision, StoreEra, TargetName, TierRank, Tokens, WorkspaceName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Version of the protocol; nodes of different versions refuse to connect.
-pub const VERSION: u16 = 5;
+pub const VERSION: u16 = 6;
 /// Length of a handshake nonce, in bytes.
 pub const NONCE_BYTES: usize = 16;
 
@@ -224,6 +224,8 @@
 /// Changes of the store's state that a reader relays to its followers.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct StoreUpdate {
+    /// The latest era of the store that the sender knows.
+    pub store_era: Option<StoreEra>,
     /// Version of the sender's configuration; the receiver requests its source with
     /// [`Message::AskCatalog`].
     pub catalog: Option<u64>,
