Do not use targets again that left before the store was restored

Callers would have been sent to targets that had left, or whose addresses belong to others by now: the registry of an older copy still lists them, and an entry counted unless a newer one was held. Removed targets were forgotten.

Draining targets were already safe: their older entries have lower sequence numbers.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -36,6 +36,8 @@
     targets_as_of: Option<Timestamp>,
     // Entries that disappeared from the registry, and when each is removed.
     missing: IndexMap<TargetName, Timestamp>,
+    // The last entries of removed targets. An older copy of the registry may still list them.
+    removed: IndexMap<TargetName, TargetEntry>,
     // Number of the last change of each target, including removed ones.
     changes: IndexMap<TargetName, u64>,
     change: u64,
@@ -323,6 +325,11 @@
 
     // Returns whether anything but the sequence changed.
     fn upsert_target(&mut self, name: TargetName, entry: TargetEntry) -> bool {
+        let removed = self.removed.get(&name);
+        if removed.is_some_and(|removed| !entry.is_newer(removed)) {
+            return false;
+        }
+        self.removed.swap_remove(&name);
         let returned = self.missing.swap_remove(&name).is_some();
         let old = self.targets.get(&name);
         if old.is_some_and(|old| !entry.replaces(old)) {
@@ -353,12 +360,16 @@
         let mut changed = false;
         for name in &expired {
             self.missing.swap_remove(name);
-            if self.targets.shift_remove(name).is_some() {
+            if let Some(entry) = self.targets.shift_remove(name) {
                 info!(event = "registry", target:% = name; "target removed");
                 self.record_change(name);
+                self.removed.insert(name.clone(), entry);
                 changed = true;
             }
         }
+        while self.removed.len() > MAX_REMOVED {
+            self.removed.shift_remove_index(0);
+        }
         changed
     }
 }
--- a/crates/placement/src/registry.rs
+++ b/crates/placement/src/registry.rs
@@ -31,6 +31,11 @@
         (self.born, self.sequence) >= (old.born, old.sequence)
     }
 
+    /// Whether this entry was written after `old`.
+    pub fn is_newer(&self, old: &Self) -> bool {
+        (self.born, self.sequence) > (old.born, old.sequence)
+    }
+
     /// Whether the entries differ in more than their sequence.
     pub fn differs(&self, old: &Self) -> bool {
         let same_sequence = Self {
