Write to a restored store again what the nodes had written

Entries of nodes were written once, so after a restore nodes that start found no others; with all nodes replaced, blocked prompts crashed targets again.

Each node announces itself again when it learns of a later era than that of its entry, within 2 s of its next check, so that all nodes do not write at once. The nodes that read the store write all blocks again. A block that could not be written is now retried; it was dropped.

--- a/crates/gateway/src/crash_sync.rs
+++ b/crates/gateway/src/crash_sync.rs
@@ -19,8 +19,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
-use crate::{Store, StoredBlock, clock};
+use crate::{Store, StoreReplica, StoredBlock, clock};
 
 /// Number of nodes to which news are pushed.
 const FANOUT: usize = 3;
@@ -30,6 +31,8 @@
 const COMPARE_PERIOD: Duration = Duration::from_secs(1);
 /// Timeout of a write to the store.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Pause before blocks are written again that could not be written.
+const RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// How long a node may take to reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -124,35 +127,60 @@
 
     // Any number of nodes may be lost, so the store keeps blocks too. The nodes that read the store
     // write to it; all nodes learn of a block at about the same time.
-    async fn write_blocks<S: Store>(&self, store: &S) {
+    //
+    // Returns whether all were written.
+    async fn write_blocks<S: Store>(&self, store: &S) -> bool {
         let blocks = std::mem::take(&mut self.lock().unwritten);
+        let mut failed = Vec::new();
         for b in blocks {
             let unix_ms = unix_ms();
             let stored = StoredBlock {
-                set: b.set,
+                set: b.set.clone(),
                 first_crash_ms: unix_ms - b.first_crash_ms,
                 since_ms: unix_ms - b.since_ms,
                 lasts_ms: b.lasts_ms,
             };
             if let Err(e) = store.record_block(&stored, WRITE_TIMEOUT).await {
                 warn!(event = "block_not_stored", error:% = e; "cannot write a block to the store");
+                failed.push(b);
             }
         }
+        let all_written = failed.is_empty();
+        self.lock().unwritten.extend(failed);
+        all_written
     }
 
-    /// Writes blocks to the store while this node reads it, until the task is dropped.
+    /// Writes blocks to the store while this node reads it, until the task is dropped. After a restore
+    /// of the store, all blocks are written again.
     pub async fn store_blocks<S: Store>(
         self: Arc<Self>,
         store: Arc<S>,
+        replica: Arc<StoreReplica>,
         reads: watch::Receiver<bool>,
     ) {
+        let mut changes = replica.watch();
+        let mut era = replica.store_era();
+        let mut all_written = true;
         loop {
-            self.has_blocks.notified().await;
-            let is_reader = *reads.borrow();
-            match is_reader {
-                true => self.write_blocks(&*store).await,
-                false => self.lock().unwritten.clear(),
+            tokio::select! {
+                () = self.has_blocks.notified() => (),
+                Ok(()) = changes.changed() => (),
+                () = sleep(RETRY_PAUSE), if !all_written => (),
             }
+            let latest = replica.store_era();
+            let is_restored = era.is_some() && era < latest;
+            era = latest;
+            self.select_unwritten(*reads.borrow(), is_restored);
+            all_written = self.write_blocks(&*store).await;
+        }
+    }
+
+    fn select_unwritten(&self, is_reader: bool, is_restored: bool) {
+        let mut inner = self.lock();
+        match is_reader {
+            true if is_restored => inner.unwritten = inner.ledger.news(clock::now()).blocked,
+            true => (),
+            false => inner.unwritten.clear(),
         }
     }
 
@@ -165,7 +193,7 @@
         loop {
             tokio::select! {
                 () = self.has_news.notified() => {
-                    tokio::time::sleep(BATCH_PERIOD).await;
+                    sleep(BATCH_PERIOD).await;
                     self.assess();
                     let news = std::mem::take(&mut self.lock().fresh);
                     for peer in self.random_peers(FANOUT) {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,6 +1,7 @@
 //! Reads the store: configuration, registry of targets, list of nodes.
 
 use log::{info, warn};
+use rand::RngExt;
 use rwd_metrics::{Metrics, label};
 use rwd_peer::{Directory, ListedInstance};
 use rwd_placement::Timestamp;
@@ -34,6 +35,9 @@
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 /// Time without a successful read above which the store counts as unavailable, in milliseconds.
 const OUTAGE_MS: f64 = 2000.0;
+/// Time over which all nodes announce themselves again after a restore of the store, in milliseconds;
+/// with the largest number of nodes, well below the store's limit of writes per second.
+const REANNOUNCE_SPREAD_MS: f64 = 2000.0;
 /// Poll interval of the list of nodes while no other node is known.
 const NODES_PERIOD: Duration = Duration::from_secs(2);
 
@@ -249,6 +253,7 @@
 pub(crate) struct NodeList<S> {
     pub store: Arc<S>,
     pub cfg: GatewaySettings,
+    pub replica: Arc<StoreReplica>,
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
     pub crash_guard: Arc<CrashGuard>,
@@ -286,6 +291,10 @@
     async fn announce(&self, own: &ListedNode, announced: Option<StoreEra>) -> Option<StoreEra> {
         match announced {
             None => (),
+            Some(_) if announced < self.replica.store_era() => {
+                let spread_ms = rand::rng().random_range(0.0..REANNOUNCE_SPREAD_MS);
+                tokio::time::sleep(Duration::from_secs_f64(spread_ms / 1000.0)).await;
+            }
             Some(_) => return announced,
         }
         match self.store.announce(own, true, CALL_TIMEOUT).await {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -238,6 +238,7 @@
         let node_list = NodeList {
             store,
             cfg: cfg.clone(),
+            replica: replica.clone(),
             directory: directory.clone(),
             limiter: limiter.clone(),
             crash_guard: crash_guard.clone(),
@@ -252,11 +253,11 @@
         tasks.spawn(scheduler.clone().run());
         tasks.spawn(spread_limits(gateway.clone(), timer.clone()));
         tasks.spawn(crash_guard.clone().run(timer.clone()));
-        tasks.spawn(
-            crash_guard
-                .clone()
-                .store_blocks(store_for_blocks, reads_for_blocks),
-        );
+        tasks.spawn(crash_guard.clone().store_blocks(
+            store_for_blocks,
+            replica.clone(),
+            reads_for_blocks,
+        ));
         tasks.spawn(apply_visible_share(
             timer.clone(),
             scheduler.clone(),
