Do not start with an older configuration than other nodes have

A node that started after a restore, before the operator had written its newest version again, took the older version of the copy: it accepted a removed key in the test (200 in place of 401). The first reader of a group never asks others while its reads succeed.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -32,6 +32,8 @@
     // The store's latest era that is known, and when it was first seen if that was not the first one.
     store_era: Option<StoreEra>,
     restored_at: Option<Timestamp>,
+    // The oldest version that may be the first one to become active.
+    least_version: u64,
     targets: IndexMap<TargetName, TargetEntry>,
     targets_as_of: Option<Timestamp>,
     // Entries that disappeared from the registry, and when each is removed.
@@ -134,6 +136,13 @@
         self.lock().rewritten_at()
     }
 
+    /// Prevents that an older version than this becomes the first active one: another node has it,
+    /// and the store may have come back from an older copy.
+    pub fn require_version(&self, version: u64) {
+        let mut inner = self.lock();
+        inner.least_version = inner.least_version.max(version);
+    }
+
     /// Activates a version of the configuration if it is newer than the active one.
     pub fn apply_catalog(&self, catalog: Catalog) {
         let mut inner = self.lock();
@@ -141,6 +150,10 @@
         if known.is_some_and(|v| v >= catalog.version) {
             return;
         }
+        if known.is_none() && catalog.version < inner.least_version {
+            info!(event = "config_outdated", version = catalog.version, newest = inner.least_version; "not activated: another node has a newer version");
+            return;
+        }
         info!(event = "config", version = catalog.version, before:? = known, bytes = catalog.source.len(); "configuration activated");
         if inner.sources.len() == MAX_SOURCES {
             inner.sources.remove(0);
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -8,7 +8,7 @@
 //! a failing store must not get reads from all nodes at once. A reader that cannot
 //! reach the store pulls from other nodes.
 
-use log::info;
+use log::{debug, info, warn};
 use rand::seq::IteratorRandom;
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_cpu};
 use rwd_placement::Timestamp;
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::catalog_sync::CatalogTransfer;
@@ -117,6 +118,7 @@
         // All nodes that start together would read the store otherwise. A store that is down is
         // found out by this node's own reads.
         let _ = timeout(MAX_LIST_WAIT, self.listed.wait_for(|listed| *listed)).await;
+        self.learn_version().await;
         let started = clock::now();
         let mut failed = 0;
         let mut failed_until = Timestamp::default();
@@ -179,12 +181,44 @@
         }
     }
 
+    // Asks other nodes for the version that they have: that of a store that has just come back from
+    // an older copy may be older.
+    async fn learn_version(&self) {
+        let view = self.directory.view();
+        let others = view.active().filter(|m| m.name != self.own);
+        let asked = others.sample(&mut rand::rng(), MAX_READERS);
+        let mut replies = JoinSet::new();
+        for member in asked {
+            let (name, links) = (member.name.clone(), self.links.clone());
+            replies.spawn(async move {
+                let request = Message::AskNews(StoreCursor::default());
+                let reply = links.ask(&name, &request, LONG_POLL_WAIT + REPLY_MARGIN);
+                let reply = reply.await;
+                (name, reply)
+            });
+        }
+        while let Some(reply) = replies.join_next().await {
+            match reply {
+                Ok((name, Ok(Message::News(update)))) if update.catalog.is_some() => {
+                    self.observe(&name, &update, None);
+                    return;
+                }
+                Ok((_, Ok(_))) => (),
+                Ok((name, Err(e))) => {
+                    debug!(peer:% = name, error:% = e; "cannot ask for the version of the configuration");
+                }
+                Err(e) => warn!(error:% = e; "asking for the version of the configuration failed"),
+            }
+        }
+    }
+
     // Applies what an update says about the store's era and the version of the configuration.
     fn observe(&self, from: &InstanceName, update: &StoreUpdate, as_of: Option<Timestamp>) {
         if let Some(era) = update.store_era {
             self.replica.observe_era(era);
         }
         if let Some(version) = update.catalog {
+            self.replica.require_version(version);
             self.transfer.announce(version, from, as_of);
         }
     }
