Defer removals of targets only after an outage of the store for all nodes

Cause: a node that the store had turned away for 3 s, or that was cut off, took that for an outage of the store, deferred the next removal by 1.5 s, and removed the entry only with its next poll, up to 0.6 s later; all nodes followed it.

An outage counts now from the last confirmation of the replica, which other nodes keep fresh. A node that was cut off from them, too, asks them at once: updates say since when the sender's list has been confirmed without a gap of 1.5 s. Missing entries expire by a timer. After an outage for all nodes nothing changes.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -33,8 +33,6 @@
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 /// Shortest pause after a failed call.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
-/// Time without a successful read above which the store counts as unavailable, in milliseconds.
-const OUTAGE_MS: f64 = 2000.0;
 /// Time over which all nodes announce themselves again after a restore of the store, in milliseconds;
 /// with the largest number of nodes, well below the store's limit of writes per second.
 const REANNOUNCE_SPREAD_MS: f64 = 2000.0;
@@ -93,15 +91,13 @@
         true
     }
 
-    // Returns whether the store was unavailable before this response.
-    fn record_success(&mut self, at: Timestamp) -> bool {
+    fn record_success(&mut self, at: Timestamp) {
         let away_ms = at - self.last_success;
         if self.unreachable {
             info!(event = "store_back", feed:% = self.feed, away_ms; "store is reachable again");
         }
         self.unreachable = false;
         self.last_success = at;
-        away_ms > OUTAGE_MS
     }
 
     fn record_failure(&mut self, e: &StoreError) {
@@ -204,8 +200,6 @@
     let mut next: Option<Position> = None;
     // When the list is read again as a whole, after a restore of the store.
     let mut relist_at: Option<Timestamp> = None;
-    // Entries that expired while the store was unavailable get time to return.
-    let mut grace_until = Timestamp::default();
     loop {
         if health.wait_until_reader(&mut reads).await {
             next = None;
@@ -224,21 +218,24 @@
         match result {
             Ok(batch) if was_restored(&replica, next, batch.next) => next = None,
             Ok(batch) => {
-                if health.record_success(requested_at) {
-                    grace_until = requested_at + OUTAGE_MS;
-                }
+                health.record_success(requested_at);
                 backoff.reset();
-                let within_grace = requested_at < grace_until;
+                replica.record_store_read(requested_at);
+                let after_outage = replica.is_after_outage();
                 match next {
                     None => {
                         relist_at = replica.rewritten_at();
-                        replica.replace_targets(batch.records, within_grace);
+                        replica.replace_targets(batch.records, after_outage);
                     }
-                    Some(_) => replica.apply_targets(batch.records, within_grace),
+                    Some(_) => replica.apply_targets(batch.records, after_outage),
                 }
                 next = Some(batch.next);
                 replica.confirm_targets(requested_at);
-                ticks.tick().await;
+                let next_poll = async { ticks.tick().await };
+                tokio::pin!(next_poll);
+                while timeout_at_expiry(&replica, &mut next_poll).await {
+                    replica.expire_missing();
+                }
             }
             Err(StoreError::Gone) => next = None,
             Err(e) => {
@@ -249,6 +246,21 @@
     }
 }
 
+// Waits for the next poll, or until a missing entry expires; returns whether one does.
+async fn timeout_at_expiry(replica: &StoreReplica, next_poll: impl Future<Output = ()>) -> bool {
+    match replica.next_expiry() {
+        Some(at) => {
+            let ms = (at - clock::now()).max(0.0);
+            let limit = Duration::from_secs_f64(ms / 1000.0);
+            tokio::time::timeout(limit, next_poll).await.is_err()
+        }
+        None => {
+            next_poll.await;
+            false
+        }
+    }
+}
+
 /// Announces one node in the store's list of nodes, and discovers others from the list and seeds.
 pub(crate) struct NodeList<S> {
     pub store: Arc<S>,
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -11,6 +11,14 @@
 use crate::catalog_sync::CatalogSource;
 use crate::{Catalog, Record, clock};
 
+/// Time without a confirmed list of targets above which the store counts as unavailable, in
+/// milliseconds.
+const OUTAGE_MS: f64 = 2000.0;
+/// Longest time between two confirmations without an outage, in milliseconds. Shorter than an outage, so
+/// that a node that noticed less of it than others does not deny it.
+const MAX_CONFIRM_GAP_MS: f64 = 1500.0;
+/// How long after an outage of the store entries that it drops may be back soon, in milliseconds.
+const AFTER_OUTAGE_MS: f64 = 2000.0;
 /// How long an entry that the store dropped during an outage may take to return, in milliseconds.
 const RETURN_GRACE_MS: f64 = 1500.0;
 /// Maximum number of versions of the configuration whose sources are kept for followers. A transfer
@@ -36,6 +44,10 @@
     least_version: u64,
     targets: IndexMap<TargetName, TargetEntry>,
     targets_as_of: Option<Timestamp>,
+    // Since when the list has been confirmed without a long gap.
+    confirmed_since: Option<Timestamp>,
+    // When the last outage of the store ended, as far as this node knows.
+    outage_ended: Option<Timestamp>,
     // Entries that disappeared from the registry, and when each is removed.
     missing: IndexMap<TargetName, Timestamp>,
     // The last entries of removed targets. An older copy of the registry may still list them.
@@ -180,6 +192,12 @@
     pub fn confirm_targets(&self, as_of: Timestamp) {
         let mut inner = self.lock();
         let first = inner.targets_as_of.is_none();
+        if inner
+            .targets_as_of
+            .is_none_or(|t| as_of - t > MAX_CONFIRM_GAP_MS)
+        {
+            inner.confirmed_since = Some(as_of);
+        }
         inner.targets_as_of = max_timestamp(inner.targets_as_of, as_of);
         drop(inner);
         if first {
@@ -187,6 +205,53 @@
         }
     }
 
+    /// Records that the store has responded to a read from `at`. If no node that this one knows of has
+    /// reached it for long, entries that expired meanwhile get time to return.
+    pub fn record_store_read(&self, at: Timestamp) {
+        let mut inner = self.lock();
+        if inner.targets_as_of.is_some_and(|t| at - t > OUTAGE_MS) {
+            inner.outage_ended = Some(at);
+        }
+    }
+
+    /// Whether entries that the store drops may be back soon, because it was unavailable.
+    pub fn is_after_outage(&self) -> bool {
+        let ended = self.lock().outage_ended;
+        ended.is_some_and(|t| clock::now() - t < AFTER_OUTAGE_MS)
+    }
+
+    /// Takes note that another node has had a confirmed list since `since`: only this node was unable
+    /// to reach the store, and entries that are missing are gone.
+    pub fn record_confirmed_elsewhere(&self, since: Timestamp) {
+        let now = clock::now();
+        let mut inner = self.lock();
+        let is_refuted = inner.outage_ended.is_some_and(|t| t - since > OUTAGE_MS);
+        if !is_refuted {
+            return;
+        }
+        inner.outage_ended = None;
+        for expires in inner.missing.values_mut() {
+            *expires = now;
+        }
+        drop(inner);
+        self.expire_missing();
+    }
+
+    /// When the next missing entry expires.
+    pub fn next_expiry(&self) -> Option<Timestamp> {
+        let inner = self.lock();
+        let times = inner.missing.values().copied();
+        times.min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    /// Removes the targets whose missing entries have had time to return.
+    pub fn expire_missing(&self) {
+        let changed = self.lock().expire(clock::now());
+        if changed {
+            self.notify();
+        }
+    }
+
     /// Applies a complete list of targets; `after_outage` gives missing entries time to return.
     pub fn replace_targets(&self, records: Vec<Record>, after_outage: bool) {
         let now = clock::now();
@@ -290,6 +355,7 @@
             whole,
             targets: targets.collect(),
             targets_age_ms: age(inner.targets_as_of),
+            targets_confirmed_ms: age(inner.confirmed_since),
             epoch: self.epoch,
             change: inner.change,
             held_ms: 0.0,
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -147,7 +147,7 @@
                         read_until = now + FALLBACK_READ_MS;
                     }
                     self.set_reads(true);
-                    if self.is_stale() {
+                    if self.is_stale() || self.replica.is_after_outage() {
                         self.pull_from_any(&ranked).await;
                     }
                     sleep(ROLE_CHECK_PERIOD).await;
@@ -269,7 +269,8 @@
         let others = ranked.iter().filter(|n| **n != own);
         for name in fresher_peer.iter().chain(others.take(MAX_READERS - 1)) {
             // On failure the next node is tried.
-            if self.pull(name).await.is_ok() && !self.is_stale() {
+            let is_ok = self.pull(name).await.is_ok();
+            if is_ok && !self.is_stale() && !self.replica.is_after_outage() {
                 return;
             }
         }
@@ -309,6 +310,9 @@
         let records = records
             .map(|(name, entry)| Record::Target(name, entry))
             .collect();
+        if let Some(ms) = update.targets_confirmed_ms {
+            self.replica.record_confirmed_elsewhere(replied_at + -ms);
+        }
         let as_of = update.targets_age_ms.map(|age_ms| replied_at + -age_ms);
         as_of.is_some_and(|t| self.replica.apply_update(records, update.whole, t))
     }
--- a/crates/gateway/tests/views.rs
+++ b/crates/gateway/tests/views.rs
@@ -89,3 +89,50 @@
     };
     assert_eq!(listed(47), listed(47 + 16));
 }
+
+fn now() -> Timestamp {
+    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Timestamp(t.tv_sec as f64 * 1e3 + t.tv_nsec as f64 / 1e6)
+}
+
+/// A replica with one target, last confirmed `age_ms` ago, after a read of the store.
+fn replica_after_read(age_ms: f64) -> StoreReplica {
+    let replica = StoreReplica::default();
+    let listed = Record::Target(name(), Some(entry()));
+    assert!(replica.apply_update(vec![listed], true, now() + -age_ms));
+    replica.record_store_read(now());
+    replica
+}
+
+fn remove(replica: &StoreReplica) {
+    let after_outage = replica.is_after_outage();
+    replica.apply_targets(vec![Record::Target(name(), None)], after_outage);
+}
+
+// issue 22, DRAIN: the store had turned away this node only, and a removal was deferred at all nodes.
+#[test]
+fn a_removal_is_not_deferred_if_another_node_could_read_the_store() {
+    // Its replica was fresh, through other nodes.
+    let replica = replica_after_read(900.0);
+    remove(&replica);
+    assert!(replica.targets(&pool()).is_empty());
+    // It was cut off from the others, too, and learns only then that they reached the store.
+    let replica = replica_after_read(8000.0);
+    remove(&replica);
+    assert_eq!(replica.targets(&pool()).len(), 1);
+    replica.record_confirmed_elsewhere(now() + -20_000.0);
+    assert!(replica.targets(&pool()).is_empty());
+    assert!(!replica.is_after_outage());
+}
+
+#[test]
+fn a_removal_is_deferred_after_an_outage_that_all_nodes_had() {
+    let replica = replica_after_read(8000.0);
+    replica.record_confirmed_elsewhere(now() + -500.0);
+    remove(&replica);
+    assert_eq!(replica.targets(&pool()).len(), 1);
+    let expires = replica.next_expiry().unwrap();
+    assert!(expires > now() && expires < now() + 1500.0);
+    replica.expire_missing();
+    assert_eq!(replica.targets(&pool()).len(), 1, "removed too early");
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -237,6 +237,8 @@
     pub targets: Vec<(TargetName, Option<rwd_placement::TargetEntry>)>,
     /// Milliseconds since the list of targets was last confirmed as the newest, if it ever was.
     pub targets_age_ms: Option<f64>,
+    /// Milliseconds since when the list of targets has been confirmed again and again.
+    pub targets_confirmed_ms: Option<f64>,
     /// Random id of the sender's process.
     pub epoch: u64,
     /// Sequence number of the last change of targets.
