Test random sequences of restores of the store

Changes, restores of any earlier copy, replacements of nodes: all nodes must show the state that was acknowledged last within 8 s, and none an older version than one that was in force.

--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod large_configuration;
 mod nodes;
 mod requests;
+mod restore_storms;
 mod restored_store;
 mod store;
 mod target_limits;
