Keep limits of targets that a node does not list yet

A node that joins may be told of a limit before it has read the list of targets; it dropped the limit, and the teller took it for told. As scheduler it would have sent the target as many requests as it has slots, until its first response. Found by reading; the test failed before (no limit once the target is listed).

--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -37,9 +37,9 @@
 /// schedule the same targets.
 const QUORUM_FRACTION: f64 = 0.5;
 
-/// Limits that are kept of targets that have left their pool; they come back in another one when a
-/// pool is partitioned anew.
-const MAX_FORMER_LIMITS: usize = 512;
+/// Limits that are kept of targets that are in no pool: they come back in another one when a pool is
+/// partitioned anew, or are not known to this node yet.
+const MAX_UNPLACED_LIMITS: usize = 512;
 
 /// Settings of a scheduler.
 #[derive(Clone, Debug, PartialEq)]
@@ -199,8 +199,9 @@
     next_id: u64,
     slot_fraction: Option<f64>,
     visible_share: Option<f64>,
-    // Limits of targets that have left their pool, with the start times of their processes.
-    former_limits: IndexMap<TargetName, (u64, RequestLimit)>,
+    // Limits of targets that are in no pool, with the start times of their processes if these are
+    // known.
+    unplaced_limits: IndexMap<TargetName, (Option<u64>, RequestLimit)>,
 }
 
 impl Scheduler {
@@ -221,8 +222,8 @@
             if !listed(name) {
                 t.info.leaving = true;
                 if t.limit.rate().is_some() {
-                    let limit = (t.info.born, t.limit.clone());
-                    self.former_limits.insert(name.clone(), limit);
+                    let limit = (Some(t.info.born), t.limit.clone());
+                    self.unplaced_limits.insert(name.clone(), limit);
                 }
             }
         }
@@ -233,17 +234,21 @@
             match state.targets.get_mut(&info.name) {
                 Some(t) => t.update(info),
                 None => {
-                    let former = self.former_limits.swap_remove(&info.name);
-                    let former = former.filter(|(born, _)| *born == info.born);
+                    let known = self.unplaced_limits.shift_remove(&info.name);
+                    let known = known.filter(|(born, _)| born.is_none_or(|b| b == info.born));
                     let share = self.visible_share.unwrap_or(1.0);
-                    let limit = former.map_or(RequestLimit::new(share), |(_, limit)| limit);
+                    let limit = known.map_or(RequestLimit::new(share), |(_, limit)| limit);
                     let target = Target::new(info, limit);
                     state.targets.insert(target.info.name.clone(), target);
                 }
             }
         }
-        while self.former_limits.len() > MAX_FORMER_LIMITS {
-            self.former_limits.shift_remove_index(0);
+        self.forget_unplaced_limits();
+    }
+
+    fn forget_unplaced_limits(&mut self) {
+        while self.unplaced_limits.len() > MAX_UNPLACED_LIMITS {
+            self.unplaced_limits.shift_remove_index(0);
         }
     }
 
@@ -337,6 +342,17 @@
         notice: &LimitNotice,
         now: Timestamp,
     ) -> Option<(TargetName, Option<RequestRate>)> {
+        let is_placed = self
+            .pools
+            .values()
+            .any(|p| p.targets.contains_key(&notice.target));
+        if !is_placed {
+            let share = self.visible_share.unwrap_or(1.0);
+            let unplaced = self.unplaced_limits.entry(notice.target.clone());
+            let unplaced = unplaced.or_insert((None, RequestLimit::new(share)));
+            unplaced.1.learn(notice, now);
+            self.forget_unplaced_limits();
+        }
         self.update_limit(notice.target.clone(), |limit| limit.learn(notice, now))
     }
 
--- a/crates/placement/tests/placement/limits.rs
+++ b/crates/placement/tests/placement/limits.rs
@@ -228,6 +228,17 @@
     assert_eq!(after(&[notice(None, 200.0, 300.0), begun]), Some(2.0));
 }
 
+/// A node that joins is told of limits before it has read the list of targets.
+#[test]
+fn a_limit_of_a_target_that_is_not_listed_yet_holds_once_it_is() {
+    let mut s = scheduler(Vec::new());
+    s.learn_limit(&notice(Some(2.0), 100.0, 200.0), at(1000.0));
+    s.set_targets(&pool(), vec![target("a", 100)]);
+    assert_eq!(s.targets(&pool(), at(1000.0))[0].limit, Some(rate(2.0)));
+    let granted = count(&mut s, 1000.0, 5000.0, limited(2.0));
+    assert!((8..=11).contains(&granted), "{granted} requests");
+}
+
 /// A scheduler that was suspended gets a report long after the response.
 #[test]
 fn a_late_report_does_not_replace_what_was_named_after_it() {
