Take lists of other nodes as complete, also after a restore of the store

Two flaws of the changes for restored stores, found by reading: a target that another node's whole list lacks was kept for good by a node that had just learned of a restore, as later updates do not name it; and a removed target that another node lists did not come back until it wrote a new entry and that was relayed, though updates do not relay entries that differ in their sequence only.

What protects against an older copy (absent targets are kept, outdated entries are ignored) now holds for what the store says, not for the lists of nodes. 4,096 removed entries are remembered in place of 512: as many targets as a large installation has. Both tests failed before.

--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -25,11 +25,20 @@
 /// must end although versions follow each other several times a second.
 const MAX_SOURCES: usize = 8;
 /// Maximum number of removed targets that are remembered.
-const MAX_REMOVED: usize = 512;
+const MAX_REMOVED: usize = 4096;
 /// How long the operator and the targets may take to write again what a store has lost that came
 /// back from an older copy, in milliseconds.
 const REWRITE_MS: f64 = 2000.0;
 
+/// Where a list of targets, or changes of it, come from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    /// The store; it may have come back from an older copy.
+    Store,
+    /// Another node, which knows of at least as late a time as this one.
+    Peer,
+}
+
 #[derive(Default)]
 struct Inner {
     catalog: Option<Arc<Catalog>>,
@@ -254,6 +263,10 @@
 
     /// Applies a complete list of targets; `after_outage` gives missing entries time to return.
     pub fn replace_targets(&self, records: Vec<Record>, after_outage: bool) {
+        self.replace(records, after_outage, Source::Store);
+    }
+
+    fn replace(&self, records: Vec<Record>, after_outage: bool, source: Source) {
         let now = clock::now();
         let mut inner = self.lock();
         let listed_names = records.iter().filter_map(|r| match r {
@@ -261,12 +274,12 @@
             _ => None,
         });
         let listed: Vec<_> = listed_names.collect();
-        inner.apply_records(records, now, return_grace_ms(after_outage));
+        inner.apply_records(records, now, return_grace_ms(after_outage), source);
         let absent = inner.targets.keys().filter(|name| !listed.contains(name));
         // A restored store lacks targets that registered after the copy was made.
         let absent: Vec<_> = match inner.rewritten_at() {
-            Some(_) => Vec::new(),
-            None => absent.cloned().collect(),
+            Some(_) if source == Source::Store => Vec::new(),
+            _ => absent.cloned().collect(),
         };
         for name in absent {
             inner
@@ -283,9 +296,13 @@
 
     /// Applies changed target entries; `after_outage` gives removed entries time to return.
     pub fn apply_targets(&self, records: Vec<Record>, after_outage: bool) {
+        self.apply(records, after_outage, Source::Store);
+    }
+
+    fn apply(&self, records: Vec<Record>, after_outage: bool, source: Source) {
         let now = clock::now();
         let mut inner = self.lock();
-        let mut changed = inner.apply_records(records, now, return_grace_ms(after_outage));
+        let mut changed = inner.apply_records(records, now, return_grace_ms(after_outage), source);
         changed |= inner.expire(now);
         drop(inner);
         if changed {
@@ -302,8 +319,8 @@
             return false;
         }
         match whole {
-            true => self.replace_targets(records, false),
-            false => self.apply_targets(records, false),
+            true => self.replace(records, false, Source::Peer),
+            false => self.apply(records, false, Source::Peer),
         }
         self.confirm_targets(as_of);
         true
@@ -384,10 +401,19 @@
         (clock::now() < at).then_some(at)
     }
 
-    fn apply_records(&mut self, records: Vec<Record>, now: Timestamp, grace_ms: f64) -> bool {
+    fn apply_records(
+        &mut self,
+        records: Vec<Record>,
+        now: Timestamp,
+        grace_ms: f64,
+        source: Source,
+    ) -> bool {
         let mut changed = false;
         for record in records {
             match record {
+                Record::Target(name, Some(entry)) if self.is_outdated(&name, &entry, source) => {
+                    info!(event = "registry_outdated", target:% = name, sequence = entry.sequence; "ignoring an entry from before the target's removal");
+                }
                 Record::Target(name, Some(entry)) => changed |= self.upsert_target(name, entry),
                 Record::Target(name, None) => {
                     changed |= !self.missing.contains_key(&name);
@@ -402,13 +428,15 @@
         changed
     }
 
+    // Whether the store's entry of a target was written before that was removed.
+    fn is_outdated(&self, name: &TargetName, entry: &TargetEntry, source: Source) -> bool {
+        let removed = self.removed.get(name);
+        source == Source::Store && removed.is_some_and(|removed| !entry.is_newer(removed))
+    }
+
     // Returns whether anything but the sequence changed.
     fn upsert_target(&mut self, name: TargetName, entry: TargetEntry) -> bool {
-        let removed = self.removed.get(&name);
-        if removed.is_some_and(|removed| !entry.is_newer(removed)) {
-            return false;
-        }
-        self.removed.swap_remove(&name);
+        self.removed.shift_remove(&name);
         let returned = self.missing.swap_remove(&name).is_some();
         let old = self.targets.get(&name);
         if old.is_some_and(|old| !entry.replaces(old)) {
--- a/crates/gateway/tests/views.rs
+++ b/crates/gateway/tests/views.rs
@@ -2,7 +2,7 @@
 
 use rwd_gateway::{Record, StoreReplica, partition};
 use rwd_placement::{TargetEntry, Timestamp};
-use rwd_types::{PoolName, TargetName};
+use rwd_types::{PoolName, StoreEra, TargetName};
 
 fn pool() -> PoolName {
     "p".parse().unwrap()
@@ -136,3 +136,38 @@
     replica.expire_missing();
     assert_eq!(replica.targets(&pool()).len(), 1, "removed too early");
 }
+
+fn listed(names: &[&str]) -> Vec<Record> {
+    let records = names.iter().map(|n| {
+        let name = n.parse().unwrap();
+        Record::Target(name, Some(entry()))
+    });
+    records.collect()
+}
+
+/// A node that follows another reader has removed a target that the store still lists, or that a
+/// stale node did not list.
+#[test]
+fn a_removed_target_comes_back_by_the_list_of_another_node_but_not_by_a_restored_store() {
+    let replica = StoreReplica::default();
+    assert!(replica.apply_update(listed(&["t", "kept"]), true, Timestamp(1000.0)));
+    assert!(replica.apply_update(listed(&["kept"]), true, Timestamp(2000.0)));
+    assert!(!replica.is_active(&name()));
+    replica.replace_targets(listed(&["t", "kept"]), false);
+    assert!(!replica.is_active(&name()));
+    assert!(replica.apply_update(listed(&["t", "kept"]), true, Timestamp(3000.0)));
+    assert!(replica.is_active(&name()));
+}
+
+/// The list of another node is complete, also while a restored store is not.
+#[test]
+fn a_target_that_another_node_does_not_list_is_removed_after_a_restore_too() {
+    let replica = StoreReplica::default();
+    assert!(replica.apply_update(listed(&["t", "kept"]), true, Timestamp(1000.0)));
+    replica.observe_era(StoreEra(1));
+    assert!(replica.observe_era(StoreEra(2)));
+    replica.replace_targets(listed(&["kept"]), false);
+    assert!(replica.is_active(&name()));
+    assert!(replica.apply_update(listed(&["kept"]), true, Timestamp(2000.0)));
+    assert!(!replica.is_active(&name()));
+}
