--- a/crates/lab/tests/gateway/restore_storms.rs
+++ b/crates/lab/tests/gateway/restore_storms.rs
@@ -14,12 +14,15 @@
 const APPLY: Duration = Duration::from_secs(8);
 const STEPS: u32 = 24;
 
+/// State and sequence number of a target's entry.
+type Entry = (&'static str, u64);
+
 struct Storm {
     cluster: TestCluster,
     rng: StdRng,
     version: u64,
-    /// The latest entry of each target: its state and sequence number; `None` if it has left.
-    entries: BTreeMap<String, (FakeTarget, Option<(&'static str, u64)>)>,
+    /// The latest entry of each target; `None` if it has left.
+    entries: BTreeMap<String, (FakeTarget, Option<Entry>)>,
     copies: Vec<StoreCopy>,
     next_node: u8,
     /// The newest version that any node had.
