Pass on limits of targets also by nodes that were only told of them

The only node that had a response with the limit, of 0.25 a second, was cut off 0.5 s after its successor had started again. Other nodes had been told of the limit as schedulers, but homes passed on only what responses had named to themselves.

Nodes remember what they are told as well, and pass it on to the four schedulers that are tried for a shard; before, to two.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -58,7 +58,7 @@
     pub instance: InstanceName,
     pub zone: ZoneName,
     pub replica: Arc<StoreReplica>,
-    pub slots: Slots,
+    pub slots: Arc<Slots>,
     pub connections: Arc<ConnectionPool>,
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -155,19 +155,20 @@
             cfg.bounds.clone(),
         ));
         let crash_guard = Arc::new(CrashGuard::new(directory.clone(), links.clone()));
+        let slots = Arc::new(Slots::new(
+            instance.clone(),
+            scheduler.clone(),
+            directory.clone(),
+            links.clone(),
+            shards.clone(),
+            replica.clone(),
+        ));
         let gateway = Arc::new(Gateway {
             protocol,
-            instance: instance.clone(),
+            instance,
             zone: cfg.zone.clone(),
             replica: replica.clone(),
-            slots: Slots::new(
-                instance,
-                scheduler.clone(),
-                directory.clone(),
-                links.clone(),
-                shards.clone(),
-                replica.clone(),
-            ),
+            slots: slots.clone(),
             connections: connections.clone(),
             directory: directory.clone(),
             limiter: limiter.clone(),
@@ -251,7 +252,7 @@
             shards.clone(),
         ));
         tasks.spawn(scheduler.clone().run());
-        tasks.spawn(spread_limits(gateway.clone(), timer.clone()));
+        tasks.spawn(spread_limits(slots.clone(), timer.clone()));
         tasks.spawn(crash_guard.clone().run(timer.clone()));
         tasks.spawn(crash_guard.clone().store_blocks(
             store_for_blocks,
@@ -267,6 +268,7 @@
         let handler = Arc::new(PeerHandler {
             membership: membership.clone(),
             scheduler,
+            slots,
             limiter,
             crash_guard,
             replica: replica.clone(),
@@ -459,6 +461,7 @@
 struct PeerHandler {
     membership: Arc<Membership>,
     scheduler: Arc<LocalScheduler>,
+    slots: Arc<Slots>,
     limiter: Arc<Limiter>,
     crash_guard: Arc<CrashGuard>,
     replica: Arc<StoreReplica>,
@@ -486,14 +489,14 @@
                 list_age_ms,
                 limits,
             } => {
-                self.scheduler.learn_limits(&limits);
+                self.slots.learn_limits(&limits);
                 if self.is_behind(list_age_ms) {
                     self.fresher_peer.send_replace(Some(from.clone()));
                 }
                 self.scheduler.serve(*offer, ex).await
             }
             Message::Limits(limits) => {
-                self.scheduler.learn_limits(&limits);
+                self.slots.learn_limits(&limits);
                 ex.send_last(&Message::UpToDate).await
             }
             Message::AskNews(cursor) => store_sync::serve_pull(&self.replica, cursor, ex).await,
@@ -557,11 +560,11 @@
 }
 
 // Tells schedulers and their successors of the limits that targets named to this node.
-async fn spread_limits<P: Protocol>(gateway: Arc<Gateway<P>>, timer: Timer) {
+async fn spread_limits(slots: Arc<Slots>, timer: Timer) {
     let mut ticks = timer.every(LIMITS_PERIOD);
     loop {
         ticks.tick().await;
-        gateway.slots.spread_limits().await;
+        slots.spread_limits().await;
     }
 }
 
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -4,7 +4,9 @@
 use indexmap::IndexMap;
 use log::{debug, info, warn};
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_cpu};
-use rwd_placement::{KnownLimits, LimitReport, Offer, Recipient, SlotOutcome, Timestamp};
+use rwd_placement::{
+    KnownLimits, LimitNotice, LimitReport, Offer, Recipient, SlotOutcome, Timestamp,
+};
 use rwd_types::{InstanceName, PoolName, TargetName};
 use rwd_wire::{MemberUpdate, Message, Placed};
 use std::net::SocketAddr;
@@ -28,8 +30,8 @@
 const MAX_REMOTE_SCHEDULERS: usize = 4;
 
 /// Number of schedulers of a shard that are told of limits before they get an offer: the present one
-/// and its successor.
-const INFORMED_SCHEDULERS: usize = 2;
+/// and those that are tried after it.
+const INFORMED_SCHEDULERS: usize = MAX_REMOTE_SCHEDULERS;
 /// Number of shards at which one request is queued.
 const MAX_SHARDS: usize = 2;
 /// Retry-after time if the pool has no target or its schedulers are lost, in milliseconds.
@@ -162,6 +164,18 @@
             .record(&slot.target, &slot.shard, limit, sent, by, clock::now())
     }
 
+    /// Applies what another node knows about the limits of targets, as scheduler and as home node.
+    pub fn learn_limits(&self, limits: &[LimitNotice]) {
+        if limits.is_empty() {
+            return;
+        }
+        self.local_scheduler.learn_limits(limits);
+        let mut known = self.known_limits();
+        for notice in limits {
+            known.learn(notice, clock::now());
+        }
+    }
+
     /// Tells the schedulers of each shard, and their successors, of limits that they may not know.
     pub async fn spread_limits(&self) {
         let shards = self.known_limits().shards();
--- a/crates/lab/tests/limit_storms.rs
+++ b/crates/lab/tests/limit_storms.rs
@@ -28,7 +28,7 @@
 /// Time after which the links to a scheduler that hangs break.
 const LINK_TIMEOUT_MS: f64 = 700.0;
 /// Schedulers of a shard that are told of limits before they get an offer.
-const INFORMED_SCHEDULERS: usize = 2;
+const INFORMED_SCHEDULERS: usize = 4;
 /// A machine is in touch if nothing has happened to it for this time, and requests count from this
 /// time after a target first named its limit.
 const STABLE_WINDOW_MS: f64 = 3000.0;
@@ -431,6 +431,7 @@
         }
         for notice in &notices {
             node.scheduler.learn_limit(notice, now);
+            node.known.learn(notice, now);
         }
     }
 
@@ -846,8 +847,9 @@
 #[test]
 fn limits_of_slow_targets_hold_while_their_schedulers_change() {
     check_seeds(faults(slow(small())), seeds(8));
-    // A scheduler was frozen while a limit fell, and granted by the old one when it was thawed.
-    for seed in [120, 144] {
+    // A scheduler was frozen while a limit fell, and granted by the old one when it was thawed; the
+    // only node that knew a limit was cut off.
+    for seed in [120, 144, 495] {
         check_seeds(faults(slow(small())), seed..seed + 1);
     }
 }
--- a/crates/placement/src/request_limit.rs
+++ b/crates/placement/src/request_limit.rs
@@ -46,6 +46,8 @@
 pub struct LimitNotice {
     /// The target.
     pub target: TargetName,
+    /// The shard that it belongs to.
+    pub shard: PoolName,
     /// Its limit; `None` if it has ended.
     pub limit: Option<RequestRate>,
     /// Milliseconds since the request was sent whose response says so.
@@ -76,6 +78,14 @@
         Some(Self { limit, sent, seen })
     }
 
+    fn from_notice(notice: &LimitNotice, now: Timestamp) -> Self {
+        Self {
+            limit: notice.limit,
+            sent: now + -notice.sent_ms_ago,
+            seen: now + -notice.seen_ms_ago,
+        }
+    }
+
     // The order of two responses is certain only if the request of one was sent after the other had
     // arrived: responses are delayed, and suspended nodes read them late. Where it is not, the
     // lower limit holds.
@@ -159,12 +169,7 @@
 
     /// Applies what another node knows.
     pub fn learn(&mut self, notice: &LimitNotice, now: Timestamp) {
-        let new = Observation {
-            limit: notice.limit,
-            sent: now + -notice.sent_ms_ago,
-            seen: now + -notice.seen_ms_ago,
-        };
-        self.merge(new, now);
+        self.merge(Observation::from_notice(notice, now), now);
     }
 
     fn merge(&mut self, new: Observation, now: Timestamp) {
@@ -228,7 +233,7 @@
     told: Vec<Recipient>,
 }
 
-/// The limits that were named to one node.
+/// The limits that were named to one node, or of which it was told.
 #[derive(Default)]
 pub struct KnownLimits {
     limits: IndexMap<TargetName, KnownLimit>,
@@ -246,9 +251,26 @@
         reported_to: Option<Recipient>,
         now: Timestamp,
     ) -> bool {
-        let Some(new) = Observation::new(report, sent, now) else {
-            return false;
-        };
+        match Observation::new(report, sent, now) {
+            Some(new) => self.merge(target, shard, new, reported_to, now),
+            None => false,
+        }
+    }
+
+    /// Applies what another node knows, so that it is passed on even if that node is lost.
+    pub fn learn(&mut self, notice: &LimitNotice, now: Timestamp) {
+        let new = Observation::from_notice(notice, now);
+        self.merge(&notice.target, &notice.shard, new, None, now);
+    }
+
+    fn merge(
+        &mut self,
+        target: &TargetName,
+        shard: &PoolName,
+        new: Observation,
+        told: Option<Recipient>,
+        now: Timestamp,
+    ) -> bool {
         let known = match self.limits.get_mut(target) {
             Some(l) => match l.known.merge(new) {
                 true => l.known,
@@ -261,7 +283,7 @@
         let known = KnownLimit {
             known,
             shard: shard.clone(),
-            told: reported_to.into_iter().collect(),
+            told: told.into_iter().collect(),
         };
         self.limits.insert(target.clone(), known);
         true
@@ -292,6 +314,7 @@
         let untold = limits.filter(|(_, l)| l.shard == *shard && !l.told.contains(to));
         let notices = untold.map(|(target, l)| LimitNotice {
             target: target.clone(),
+            shard: l.shard.clone(),
             limit: l.known.limit,
             sent_ms_ago: now - l.known.sent,
             seen_ms_ago: now - l.known.seen,
--- a/crates/placement/tests/placement/limits.rs
+++ b/crates/placement/tests/placement/limits.rs
@@ -145,6 +145,7 @@
     );
     let notice = LimitNotice {
         target: name("a"),
+        shard: pool(),
         limit: Some(rate(2.0)),
         sent_ms_ago: 20.0,
         seen_ms_ago: 10.0,
@@ -164,6 +165,16 @@
     );
 }
 
+#[test]
+fn a_limit_is_passed_on_by_nodes_that_were_only_told_of_it() {
+    let mut known = KnownLimits::default();
+    known.learn(&notice(Some(2.0), 100.0, 200.0), at(1000.0));
+    let untold = known.untold(&pool(), &recipient("s1", 1), at(1100.0));
+    assert_eq!(untold.len(), 1);
+    assert_eq!(untold[0].limit, Some(rate(2.0)));
+    assert_eq!(untold[0].seen_ms_ago, 900.0);
+}
+
 #[test]
 fn the_end_of_a_limit_is_passed_on_too() {
     let mut known = KnownLimits::default();
@@ -176,6 +187,7 @@
     let untold = known.untold(&pool(), &recipient("s1", 1), at(40.0));
     let notice = LimitNotice {
         target: name("a"),
+        shard: pool(),
         limit: None,
         sent_ms_ago: 25.0,
         seen_ms_ago: 10.0,
@@ -189,6 +201,7 @@
 fn notice(limit: Option<f64>, sent: f64, seen: f64) -> LimitNotice {
     LimitNotice {
         target: name("a"),
+        shard: pool(),
         limit: limit.map(rate),
         sent_ms_ago: 1000.0 - sent,
         seen_ms_ago: 1000.0 - seen,
@@ -274,7 +287,7 @@
         let mut allowed = Vec::new();
         let mut ms = 10.0;
         for (per_s, length, kind) in steps {
-            s.learn_limit(&LimitNotice { target: name("a"), limit: Some(rate(per_s)), sent_ms_ago: 0.0, seen_ms_ago: 0.0 }, at(ms));
+            s.learn_limit(&LimitNotice { target: name("a"), shard: pool(), limit: Some(rate(per_s)), sent_ms_ago: 0.0, seen_ms_ago: 0.0 }, at(ms));
             let end = ms + length;
             while ms < end {
                 let id = s.offer(offer(0), at(ms));
