Use half of a target's limit while a scheduler takes over

A scheduler was leaving; for 1.5 s some nodes still used it and others its successor, each with the whole limit of 8.4 a second, and then the limit fell.

A scheduler that had no offers for a pool for 2 s uses half of the limits of its targets for 2 s, so that it and the one before stay within one and a half times the limit.

--- a/crates/placement/src/request_limit.rs
+++ b/crates/placement/src/request_limit.rs
@@ -133,16 +133,23 @@
     filled_at: Timestamp,
 }
 
-impl RequestLimit {
-    /// No limit; of later ones the scheduler may use a fraction of `share`.
-    pub fn new(share: f64) -> Self {
+impl Default for RequestLimit {
+    /// No limit.
+    fn default() -> Self {
         Self {
             known: Observation::default(),
-            share,
+            share: 1.0,
             tokens: 0.0,
             filled_at: Timestamp::default(),
         }
     }
+}
+
+impl RequestLimit {
+    /// The same limit, of which the scheduler may use a fraction of `share`.
+    pub fn with_share(self, share: f64) -> Self {
+        Self { share, ..self }
+    }
 
     /// The limit, if the target has one.
     pub fn rate(&self) -> Option<RequestRate> {
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -37,6 +37,12 @@
 /// schedule the same targets.
 const QUORUM_FRACTION: f64 = 0.5;
 
+/// A pool without offers for longer than this had another scheduler meanwhile, which may go on for as
+/// long until all nodes agree on the new one, in milliseconds.
+const HANDOVER_MS: f64 = 2000.0;
+/// Fraction of the limits of targets that is used during a handover: both schedulers together stay
+/// within one and a half times the limit.
+const HANDOVER_SHARE: f64 = 0.5;
 /// Limits that are kept of targets that are in no pool: they come back in another one when a pool is
 /// partitioned anew, or are not known to this node yet.
 const MAX_UNPLACED_LIMITS: usize = 512;
@@ -166,6 +172,11 @@
     speed: Speed,
     // Mean slot time by route priority, in milliseconds.
     slot_ms: IndexMap<u8, f64>,
+    last_offer: Option<Timestamp>,
+    // When the scheduler began to get offers for the pool.
+    taken_over: Timestamp,
+    // The fraction of the limits of targets that is used now.
+    limit_share: Option<f64>,
 }
 
 /// Median speed of a pool's usable targets.
@@ -236,8 +247,8 @@
                 None => {
                     let known = self.unplaced_limits.shift_remove(&info.name);
                     let known = known.filter(|(born, _)| born.is_none_or(|b| b == info.born));
-                    let share = self.visible_share.unwrap_or(1.0);
-                    let limit = known.map_or(RequestLimit::new(share), |(_, limit)| limit);
+                    let limit = known.map_or(RequestLimit::default(), |(_, limit)| limit);
+                    let limit = limit.with_share(state.limit_share.unwrap_or(1.0));
                     let target = Target::new(info, limit);
                     state.targets.insert(target.info.name.clone(), target);
                 }
@@ -259,9 +270,9 @@
     /// fraction.
     pub fn set_visible_share(&mut self, share: f64, now: Timestamp) {
         self.slot_fraction = (share < QUORUM_FRACTION).then_some(share);
-        if self.visible_share.replace(share) != Some(share) {
-            let targets = self.pools.values_mut().flat_map(|p| p.targets.values_mut());
-            targets.for_each(|t| t.limit.set_share(share, now));
+        self.visible_share = Some(share);
+        for pool in self.pools.values_mut() {
+            pool.set_limit_share(share, now);
         }
     }
 
@@ -276,6 +287,10 @@
         let id = OfferId(self.next_id);
         let pool = self.pools.entry(offer.pool.clone()).or_default();
         pool.record_slot_time(&offer);
+        if pool.last_offer.is_none_or(|t| now - t > HANDOVER_MS) {
+            pool.taken_over = now;
+        }
+        pool.last_offer = Some(now);
         pool.waiting.push(Waiting {
             id,
             offer,
@@ -347,9 +362,8 @@
             .values()
             .any(|p| p.targets.contains_key(&notice.target));
         if !is_placed {
-            let share = self.visible_share.unwrap_or(1.0);
             let unplaced = self.unplaced_limits.entry(notice.target.clone());
-            let unplaced = unplaced.or_insert((None, RequestLimit::new(share)));
+            let unplaced = unplaced.or_insert((None, RequestLimit::default()));
             unplaced.1.learn(notice, now);
             self.forget_unplaced_limits();
         }
@@ -384,6 +398,7 @@
                 continue;
             }
             pool.sort(&self.cfg, now);
+            pool.set_limit_share(self.visible_share.unwrap_or(1.0), now);
             let granted = pool.grant_free_slots(self.slot_fraction, now);
             for (w, target, address, first_ms, proven) in granted {
                 self.granted.insert(w.id, (name.clone(), target.clone()));
@@ -429,6 +444,17 @@
 type Granted = (Waiting, TargetName, SocketAddr, f64, bool);
 
 impl Pool {
+    fn set_limit_share(&mut self, visible_share: f64, now: Timestamp) {
+        let share = match now - self.taken_over < HANDOVER_MS {
+            true => visible_share * HANDOVER_SHARE,
+            false => visible_share,
+        };
+        if self.limit_share.replace(share) != Some(share) {
+            let targets = self.targets.values_mut();
+            targets.for_each(|t| t.limit.set_share(share, now));
+        }
+    }
+
     fn record_slot_time(&mut self, offer: &Offer) {
         let Speed {
             prefill_ms_per_token,
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -184,7 +184,7 @@
                 prefill_ms_per_token: self.prefill_ms_per_token,
                 step_ms: self.step_ms,
                 call_ms: self.call_ms,
-                ..Self::new(info, RequestLimit::new(self.limit.share()))
+                ..Self::new(info, RequestLimit::default().with_share(self.limit.share()))
             };
             return;
         }
