--- a/crates/lab/tests/limit_storms.rs
+++ b/crates/lab/tests/limit_storms.rs
@@ -320,23 +320,24 @@
                     );
                 }
                 Some(State::Queued { scheduler, .. }) => {
-                    let s = &mut self.nodes[scheduler];
-                    let offers: Vec<_> = s
-                        .queued
-                        .iter()
-                        .filter(|(_, c)| **c == id)
-                        .map(|(o, _)| *o)
-                        .collect();
-                    for offer in offers {
-                        s.queued.remove(&offer);
-                        s.scheduler.finish(offer, SlotOutcome::Unused, at(self.now));
-                    }
+                    self.withdraw(id, scheduler);
                 }
                 _ => (),
             }
         }
     }
 
+    // Withdraws the queued offers of a call.
+    fn withdraw(&mut self, id: u64, scheduler: usize) {
+        let s = &mut self.nodes[scheduler];
+        let queued = s.queued.iter().filter(|(_, c)| **c == id);
+        let offers: Vec<_> = queued.map(|(offer, _)| *offer).collect();
+        for offer in offers {
+            s.queued.remove(&offer);
+            s.scheduler.finish(offer, SlotOutcome::Unused, at(self.now));
+        }
+    }
+
     fn end_faults(&mut self) {
         for n in 0..self.nodes.len() {
             let node = &mut self.nodes[n];
@@ -548,17 +549,7 @@
         });
         for (id, tried) in due.collect::<Vec<_>>() {
             if let State::Queued { scheduler, .. } = self.calls[&id].state {
-                let s = &mut self.nodes[scheduler];
-                let offers: Vec<_> = s
-                    .queued
-                    .iter()
-                    .filter(|(_, c)| **c == id)
-                    .map(|(o, _)| *o)
-                    .collect();
-                for offer in offers {
-                    s.queued.remove(&offer);
-                    s.scheduler.finish(offer, SlotOutcome::Unused, at(self.now));
-                }
+                self.withdraw(id, scheduler);
             }
             let call = &self.calls[&id];
             match self.nodes[call.home].runs() && self.now - call.created < 3000.0 {
