--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 for name in twice endless junk; do
-    rustc --edition 2024 -O "review/stand/$name.rs" -o "target/review/$name"
+    rustc --edition 2024 -O -A warnings "review/stand/$name.rs" -o "target/review/$name"
 done
