Review: the first case at a lower dose

Three in ten requests are refused as full instead of 45 in 100, and the trouble pauses for half a second.

--- a/review/stand/twice.rs
+++ b/review/stand/twice.rs
@@ -14,8 +14,8 @@
 use std::thread;
 use std::time::Duration;
 
-/// `srv_grey` of the site: share of its requests that a runner in trouble fails, here as full.
-const SHED: f64 = 0.45;
+/// `srv_grey` of the site: share of its requests that a runner in trouble fails, here as full (0.45 at most).
+const SHED: f64 = 0.3;
 /// `garble` with `extra late` of the site: share of the answers after which a second one comes.
 const EXTRA: f64 = 0.03;
 /// The refusal of a full runner, as the pages show it.
@@ -113,7 +113,7 @@
     let (w, t) = (world.clone(), in_trouble.clone());
     thread::spawn(move || {
         loop {
-            thread::sleep(ms(2000));
+            thread::sleep(ms(500));
             t.store(is_trouble(), Ordering::Relaxed);
             w.record.line("trouble begins");
             thread::sleep(ms(5000));
@@ -121,7 +121,7 @@
             w.record.line("trouble ends");
         }
     });
-    let outcomes = traffic(&world, ms(77_000), 3..5);
+    let outcomes = traffic(&world, ms(96_000), 3..5);
     let runs = runs.lock().unwrap();
     let bookings: Vec<_> = outcomes.iter().filter(|o| KINDS[o.kind].name == "job-book").collect();
     let twice: Vec<_> = bookings.iter().filter(|o| runs.get(&o.id).is_some_and(|r| r.len() > 1)).collect();
