Relay nothing but events in streams

Cause: EventBuffer took any bytes up to a blank line for an event, and Relay compared ids only where an event had one. The same cause let through a first event that is none, stray bytes of the target at which a stream is resumed, lines that are no fields inside an event, and stray bytes that end with the connection, after which the stream looked complete. Ruled out: responses of other requests (head, id and receipt were right) and reused connections (these targets close theirs).

Each line is now checked as it arrives, an event has one numeric id, and the order of ids is checked by the reader, so a bad first event is known before the caller gets a head. Such a response ends at once, as a broken stream, and does not count as a crash that the prompt may have caused.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,7 +34,7 @@
     BadRequest, Batch, Feed, ListedNode, Lookup, Position, Protocol, Record, RequestHead, Store,
     StoreError, StoredBlock, TargetRequestHead, TargetResponseHead,
 };
-pub use crate::events::{Event, EventBuffer};
+pub use crate::events::{Event, EventBuffer, EventError};
 pub use crate::gateway::{Aborted, Body};
 pub use crate::node::{GatewayNode, NodeError};
 pub use crate::quota::{
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -31,6 +31,7 @@
 }
 
 type Tx = mpsc::Sender<Result<Bytes, Aborted>>;
+type SendError = mpsc::error::SendError<Result<Bytes, Aborted>>;
 
 /// Why a relay ended.
 enum Ended {
@@ -161,11 +162,11 @@
         };
         loop {
             match next {
-                Next::Event(event) => match self.relay_event(event).await {
-                    Some(Ended::Broken) => return Err((slot, Attempt::Broken)),
-                    Some(ended) => return Ok(ended),
-                    None => (),
-                },
+                Next::Event(event) => {
+                    if self.relay_event(event).await.is_err() {
+                        return Ok(Ended::CallerGone);
+                    }
+                }
                 Next::End => {
                     self.request
                         .gateway
@@ -190,7 +191,10 @@
                         .record_output(&self.request.admitted, total);
                     return Ok(Ended::Complete);
                 }
-                Next::Broken => return Err((slot, Attempt::Broken)),
+                Next::Broken(e) => {
+                    let attempt = self.request.broken_stream(&slot.target, &e);
+                    return Err((slot, attempt));
+                }
             }
             let limit = self.request.stream_idle_timeout();
             let received = self
@@ -211,22 +215,11 @@
         }
     }
 
-    async fn relay_event(&mut self, event: Event) -> Option<Ended> {
-        match (event.id, self.last_event) {
-            // A target that resumes a stream may repeat events that the caller already has.
-            (Some(id), Some(last)) if id <= last => return None,
-            (Some(id), Some(last)) if id != last + 1 => {
-                info!(event = "event_gap", request:% = self.request.admitted.head.id, last, id; "gap in event ids");
-                return Some(Ended::Broken);
-            }
-            (Some(id), _) => self.last_event = Some(id),
-            (None, _) => (),
-        }
+    // Fails if the caller has disconnected.
+    async fn relay_event(&mut self, event: Event) -> Result<(), SendError> {
+        self.last_event = Some(event.id);
         self.request.events += 1;
-        match self.tx.send(Ok(event.raw)).await {
-            Ok(()) => None,
-            Err(_) => Some(Ended::CallerGone),
-        }
+        self.tx.send(Ok(event.raw)).await
     }
 
     fn tokens_per_event(&self) -> u32 {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::connection::{ConnectError, Connection, SendResult};
-use crate::events::{EventReader, Next};
+use crate::events::{EventReader, Next, StreamError};
 use crate::gateway::{Admitted, Body, Gateway, InProgress};
 use crate::refusal::Refusal;
 use crate::relay::{Relay, StartedStream};
@@ -82,6 +82,8 @@
     Started(Box<StartedStream>),
     /// The exchange failed, and the request may have run.
     Broken,
+    /// The target sent bytes that are no part of its response, and the request may have run.
+    Malformed,
     /// The target was unresponsive, and the request may have run.
     Unresponsive,
 }
@@ -383,9 +385,9 @@
                 Some(SendResult::NotSent) => return Attempt::Unreachable,
                 Some(SendResult::Response(response)) => {
                     let limit = limit.saturating_sub(elapsed(dispatch.sent));
-                    return self
-                        .read_response(response, connection, limit, dispatch)
-                        .await;
+                    let reading =
+                        self.read_response(response, connection, limit, dispatch, last_event);
+                    return reading.await;
                 }
                 Some(SendResult::Broken(e)) => {
                     info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.reused, error:% = e; "connection broke before a response");
@@ -434,6 +436,7 @@
         connection: Connection,
         limit: Duration,
         dispatch: &mut Dispatch,
+        last_event: Option<u64>,
     ) -> Attempt {
         let (parts, body) = response.into_parts();
         let head = self.gateway.protocol.read_response(&parts);
@@ -445,7 +448,7 @@
             self.record_limit(&head, dispatch);
         }
         if self.admitted.route.streams && parts.status.is_success() {
-            let mut reader = EventReader::new(body);
+            let mut reader = EventReader::new(body, last_event);
             let target = &dispatch.slot.target;
             let next = self.wait_or_fail_over(reader.next(), limit, target).await;
             return match next {
@@ -463,7 +466,7 @@
                     first: None,
                     sent: dispatch.sent,
                 })),
-                Some(Next::Broken) => Attempt::Broken,
+                Some(Next::Broken(e)) => self.broken_stream(&dispatch.slot.target, &e),
                 None => Attempt::Unresponsive,
             };
         }
@@ -487,6 +490,15 @@
         }
     }
 
+    /// Logs why a target's stream broke.
+    pub fn broken_stream(&self, target: &TargetName, e: &StreamError) -> Attempt {
+        info!(event = "broken_stream", request:% = self.admitted.head.id, target:% = target, events = self.events, error:% = e; "a target's stream broke");
+        match e {
+            StreamError::Malformed(_) => Attempt::Malformed,
+            StreamError::Truncated | StreamError::Connection(_) => Attempt::Broken,
+        }
+    }
+
     // Records the request limit that the target names in its response.
     fn record_limit(&self, head: &TargetResponseHead, dispatch: &mut Dispatch) {
         let (id, target) = (&self.admitted.head.id, dispatch.slot.target.clone());
@@ -566,6 +578,11 @@
                 self.sends += 1;
                 (SlotOutcome::Silent, Refusal::Timeout, "silent")
             }
+            Attempt::Malformed => {
+                self.arrivals += 1;
+                self.sends += 1;
+                (SlotOutcome::Broken, Refusal::Unknown, "malformed")
+            }
             _ => {
                 self.arrivals += 1;
                 self.sends += 1;
--- a/crates/gateway/tests/parsing.rs
+++ b/crates/gateway/tests/parsing.rs
@@ -2,7 +2,9 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use rwd_gateway::{Catalog, EventBuffer, GatewaySettings, Limits, RetryPolicy, Route, partition};
+use rwd_gateway::{
+    Catalog, Event, EventBuffer, EventError, GatewaySettings, Limits, RetryPolicy, Route, partition,
+};
 use rwd_placement::TargetEntry;
 use rwd_types::{PoolName, TargetName, ZoneName};
 use std::net::SocketAddr;
@@ -47,30 +49,39 @@
     }
 }
 
-// A stream yields the same complete events, byte for byte, however it is split into chunks.
+// The events at the front of the buffer, and the error that ended them, if any.
+fn drain(buffer: &mut EventBuffer, found: &mut Vec<Event>) -> Option<EventError> {
+    loop {
+        match buffer.next_event() {
+            Ok(Some(event)) => found.push(event),
+            Ok(None) => return None,
+            Err(e) => return Some(e),
+        }
+    }
+}
+
+// A stream yields the same complete events and the same error, byte for byte, however it is split into
+// chunks.
 fn check(text: String, lengths: Vec<usize>) -> Result<(), TestCaseError> {
     let mut unsplit = EventBuffer::default();
     unsplit.extend(text.as_bytes());
     let mut expected = Vec::new();
-    while let Some(event) = unsplit.next_event() {
-        expected.push(event);
-    }
+    let expected_error = drain(&mut unsplit, &mut expected);
     let mut chunked = EventBuffer::default();
     let mut found = Vec::new();
+    let mut error = None;
     let mut rest = text.as_bytes();
-    for len in lengths {
+    for len in lengths.into_iter().chain([usize::MAX]) {
         let (chunk, next) = rest.split_at(len.min(rest.len()));
         chunked.extend(chunk);
         rest = next;
-        while let Some(event) = chunked.next_event() {
-            found.push(event);
+        error = error.or(drain(&mut chunked, &mut found));
+        if error.is_some() {
+            break;
         }
     }
-    chunked.extend(rest);
-    while let Some(event) = chunked.next_event() {
-        found.push(event);
-    }
     prop_assert_eq!(&found, &expected);
+    prop_assert_eq!(error, expected_error);
     let joined: Vec<u8> = found.iter().flat_map(|e| e.raw.to_vec()).collect();
     prop_assert!(text.as_bytes().starts_with(&joined));
     Ok(())
@@ -91,6 +102,7 @@
             Just("\n".to_owned()),
             Just("\r\n".to_owned()),
             Just("weight-versions: 2\r\n".to_owned()),
+            Just(format!("id: 8\r\n{}\n\n", "data: y\n".repeat(3))),
             "[a-z:]{0,5}".prop_map(|s| s),
         ],
         0..40,
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -46,6 +46,10 @@
     Unresponsive,
     /// Sends a complete response with a pause in the middle.
     Pause,
+    /// Responds with this body without a length, and closes the connection.
+    Body(&'static [u8]),
+    /// Responds with the first body, then repeats the second one until the caller closes the connection.
+    Endless(&'static [u8], &'static [u8]),
 }
 
 /// Length of a pause; exceeds the gap after which the gateway considers a stream unresponsive.
@@ -281,6 +285,13 @@
             _ => bytes.len(),
         };
         tcp.write_all(&bytes[..middle]).await?;
+        if let Behaviour::Endless(_, piece) = behaviour {
+            // An error means that the caller has closed the connection.
+            while tcp.write_all(piece).await.is_ok() {
+                tokio::task::yield_now().await;
+            }
+            return Ok(());
+        }
         if behaviour == Behaviour::Pause {
             tokio::time::sleep(PAUSE).await;
             tcp.write_all(&bytes[middle..]).await?;
@@ -338,6 +349,11 @@
     };
     let with_length = |text: &str| format!("Content-Length: {}\r\n\r\n{text}", text.len());
     let complete = |id: &str, headers: &str| head("200 OK", id, headers) + &with_length(&body);
+    let unframed = "Seal: s\r\nConnection: close\r\n\r\n";
+    if let Behaviour::Body(body) | Behaviour::Endless(body, _) = behaviour {
+        let head = head("200 OK", id, unframed);
+        return ([head.as_bytes(), body].concat(), false);
+    }
     let (text, keep_alive) = match behaviour {
         Behaviour::Respond | Behaviour::Pause => (complete(id, "Seal: s\r\n"), true),
         Behaviour::NotRun => {
@@ -369,14 +385,15 @@
             (first + &complete("late", "Seal: s\r\n"), true)
         }
         Behaviour::Unframed | Behaviour::UnframedReset => {
-            let head = head("200 OK", id, "Seal: s\r\nConnection: close\r\n\r\n");
-            (head + &body, false)
+            (head("200 OK", id, unframed) + &body, false)
         }
-        Behaviour::UnframedCut => {
-            let head = head("200 OK", id, "Seal: s\r\nConnection: close\r\n\r\n");
-            (head + &body[..body.len() - 5], false)
+        Behaviour::UnframedCut => (
+            head("200 OK", id, unframed) + &body[..body.len() - 5],
+            false,
+        ),
+        Behaviour::Unresponsive | Behaviour::Body(_) | Behaviour::Endless(..) => {
+            (String::new(), false)
         }
-        Behaviour::Unresponsive => (String::new(), false),
     };
     (text.into_bytes(), keep_alive)
 }
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -9,4 +9,5 @@
 mod restore_storms;
 mod restored_store;
 mod store;
+mod stray_bytes;
 mod target_limits;
