Check the range of numbers and addresses in entries of the store

An entry of another writer could become a target or a node: one with slots, a negative warm-up time, port 0 or an address of no host was listed, and requests were sent there first, each at the price of a failed attempt. Two such numbers of slots overflow the sum over their pool, which ends the task in a debug build and gives a wrong sum in a release build. In the list of nodes a large cpu_milli made the entry the first candidate of cluster-wide roles, and unreadable entries were skipped without a log line.

Cause: fields were checked for their type only.

Not shown, and kept as tests: records nested 250000 levels deep, numbers that no field can hold, ports above 65535 and bytes that are no JSON, in all topics that nodes read.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -332,6 +332,9 @@
             match record {
                 Record::Node(node) => nodes.push(node),
                 Record::Block(block) => blocks.push(block),
+                Record::Unreadable { key, reason } => {
+                    warn!(event = "nodes", key:%, reason:%; "unreadable entry");
+                }
                 _ => (),
             }
         }
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod helper;
 mod large_configuration;
 mod nodes;
+mod odd_records;
 mod requests;
 mod restore_storms;
 mod restored_store;
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -533,9 +533,10 @@
     }
 
     fn exceeds_slot_fraction(&self, fraction: f64) -> bool {
-        let slots: u32 = self.targets.values().map(|t| t.info.capacity.slots).sum();
+        let slots = self.targets.values().map(|t| t.info.capacity.slots);
+        let slots: f64 = slots.map(f64::from).sum();
         let used: usize = self.targets.values().map(|t| t.in_flight.len()).sum();
-        used as f64 >= (f64::from(slots) * fraction).ceil()
+        used as f64 >= (slots * fraction).ceil()
     }
 
     fn shed_unservable(
