Serve configurations with very large numbers

A caller's connection ended without a response in a panic if the configuration in force had weights whose sum exceeds 32 bits (a panic of a debug build; a release build picked a pool by a wrong sum), or a timeout beyond what a Duration holds (any build, for callers without a deadline).

Before: a_configuration_with_large_numbers_is_served failed with 'attempt to add with overflow'; status None instead of 200. After: it passes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,6 +33,8 @@
 const QUOTA_WAIT_SHARE: f64 = 0.2;
 /// Time reserved for the response to reach the caller, in milliseconds.
 const RESPONSE_TRANSIT_MS: f64 = 20.0;
+/// Longest time for which any request is kept, in milliseconds.
+const MAX_REQUEST_MS: f64 = 86_400_000.0;
 /// Timeout for receiving a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Initial estimate of the output length, as a fraction of the maximum that the request allows.
@@ -193,9 +195,10 @@
             }
         };
         let pool = choose_pool(&route).ok_or(Refusal::NotRun)?;
+        let longest_ms = route.timeout_ms.min(MAX_REQUEST_MS);
         let timeout_ms = match head.time_left_ms {
-            Some(left) => route.timeout_ms.min(left - RESPONSE_TRANSIT_MS),
-            None => route.timeout_ms,
+            Some(left) => longest_ms.min(left - RESPONSE_TRANSIT_MS),
+            None => longest_ms,
         };
         let rank = Rank {
             workspace: workspace.as_ref().map_or(0, |w| w.priority),
@@ -300,16 +303,19 @@
 
 // Picks one of the route's pools at random, by weight.
 fn choose_pool(route: &Route) -> Option<PoolName> {
-    let total: u32 = route.pools.iter().map(|(_, weight)| weight).sum();
+    let total: u64 = route.pools.iter().map(|(_, w)| u64::from(*w)).sum();
     if total == 0 {
         return route.pools.first().map(|(pool, _)| pool.clone());
     }
     let mut pick = rand::rng().random_range(0..total);
-    let chosen = route.pools.iter().find(|(_, weight)| match pick < *weight {
-        true => true,
-        false => {
-            pick -= weight;
-            false
+    let chosen = route.pools.iter().find(|(_, weight)| {
+        let weight = u64::from(*weight);
+        match pick < weight {
+            true => true,
+            false => {
+                pick -= weight;
+                false
+            }
         }
     });
     chosen.map(|(pool, _)| pool.clone())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -172,7 +172,7 @@
                         .gateway
                         .connections
                         .release(connection, &parts.headers);
-                    let output = (self.request.events - events_before) * self.tokens_per_event();
+                    let output = self.tokens(self.request.events - events_before);
                     info!(
                         event = "stream_end", request:% = self.request.admitted.head.id,
                         target:% = slot.target, first_ms = first_ms as u64,
@@ -185,7 +185,7 @@
                         rest_ms: clock::now() - first_byte,
                         output,
                     });
-                    let total = self.request.events * self.tokens_per_event();
+                    let total = self.tokens(self.request.events);
                     self.request
                         .gateway
                         .record_output(&self.request.admitted, total);
@@ -222,12 +222,10 @@
         self.tx.send(Ok(event.raw)).await
     }
 
-    fn tokens_per_event(&self) -> u32 {
+    fn tokens(&self, events: u32) -> u32 {
         let a = &self.request.admitted;
-        a.catalog
-            .pools
-            .get(&a.pool)
-            .map_or(1, |p| p.tokens_per_event)
+        let pool = a.catalog.pools.get(&a.pool);
+        events.saturating_mul(pool.map_or(1, |p| p.tokens_per_event))
     }
 }
 
--- a/crates/lab/tests/gateway/odd_records.rs
+++ b/crates/lab/tests/gateway/odd_records.rs
@@ -185,6 +185,32 @@
     assert_served(&cluster, "c").await;
 }
 
+/// Guards against a configuration whose numbers are valid but large enough to end the node that uses
+/// them.
+#[tokio::test]
+async fn a_configuration_with_large_numbers_is_served() {
+    let cluster = TestCluster::start(1, 2, 2).await;
+    let large = config_record(2, &[KEY], 1_000_000)
+        .replace("\"timeout_ms\":3000", "\"timeout_ms\":1e308")
+        .replace("\"attempts\":1,", "\"attempts\":4294967295,")
+        .replace("\"stride\":2", "\"stride\":4294967295")
+        .replace("\"slots\":4", "\"slots\":4294967295")
+        .replace("\"kv_cap_tokens\":100000", "\"kv_cap_tokens\":4294967295")
+        .replace(
+            "\"service\":\"desk\"",
+            "\"split\":[{\"service\":\"desk\",\"weight\":1e300},{\"service\":\"desk\",\"weight\":1e300}]",
+        );
+    cluster.store.put("keyed.op", "config", Some(&large));
+    cluster.nodes[0].await_config(2).await;
+    assert_served(&cluster, "l").await;
+    for n in 0..4 {
+        let mut call = get("/safe/a", &format!("d{n}"));
+        call.headers.retain(|(name, _)| *name != "deadline-ms");
+        let result = cluster.call(&call).await;
+        assert_eq!(result.status.map(|s| s.as_u16()), Some(200));
+    }
+}
+
 /// Guards against keys that cannot be named in the next call, where the list has several pages.
 #[tokio::test]
 async fn a_list_is_read_beyond_a_page_that_ends_with_an_odd_key() {
