Close connections after refusals without an id

Cause: a refusal (Not-Run or status 421) counts as the answer to the request on its connection. The platform's refusals have no Request-Id, so a copy that a faulty target writes once more, when the next request is on the connection, passed for the answer to that request, which the target was already running.

A connection on which a refusal without an id was received is closed instead of kept, so a copy can reach no other request. Ruled out: refusing such answers on all reused connections, since that would turn the true refusals of full targets into 502.

Before, on: a_refusal_sent_again_does_not_refuse_the_next_request failed with 'u0 got Some(503) and ran', a_refusal_sent_again_makes_no_request_run_twice with 'u0 ran 2 times'.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -474,7 +474,11 @@
         let collected = self.wait_or_fail_over(collected, limit, &dispatch.slot.target);
         match collected.await {
             Some(Ok(body)) => {
-                self.gateway.connections.release(connection, &parts.headers);
+                // Without an id, a late copy of this refusal would pass for the response to the next
+                // request on the connection.
+                if head.id.is_some() {
+                    self.gateway.connections.release(connection, &parts.headers);
+                }
                 match head.not_run || head.misdirected {
                     true => Attempt::NotRun {
                         misdirected: head.misdirected,
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -20,6 +20,9 @@
     NotRun,
     /// Responds with 421: the request is meant for another target.
     Misdirected,
+    /// Refuses with this status line and these headers, and sends the same bytes once more when the next
+    /// request arrives on the connection, before it responds to that.
+    RefuseTwice(&'static str),
     /// Runs the request and responds with 500.
     Fail,
     /// Runs it and responds with the ID of another request.
@@ -48,6 +51,8 @@
     Pause,
     /// Responds with this body without a length, and closes the connection.
     Body(&'static [u8]),
+    /// Responds with this status line and these headers, and with this body and its length.
+    Response(&'static str, &'static str),
     /// Responds with the first body, then repeats the second one until the caller closes the connection.
     Endless(&'static [u8], &'static [u8]),
 }
@@ -92,6 +97,8 @@
 #[derive(Default)]
 struct Shared {
     script: VecDeque<Behaviour>,
+    // Behaviours for requests from the start of a stream, and for those that resume one.
+    resume_script: Option<(Behaviour, Behaviour)>,
     arrivals: Vec<Arrival>,
     // The part of a prompt that crashes the target, and how long it is down then.
     crashes_on: Option<(String, Duration)>,
@@ -164,6 +171,12 @@
         lock(&self.shared).script.extend(behaviours);
     }
 
+    /// Responds to every request from the start of a stream as `first` says, and to those that resume one
+    /// as `next` says.
+    pub fn script_resume(&self, first: Behaviour, next: Behaviour) {
+        lock(&self.shared).resume_script = Some((first, next));
+    }
+
     /// Crashes whenever it begins to write a response to a prompt with a part of this id; all of
     /// its connections end, and it is down for `down`.
     pub fn crash_on(&self, part: &str, down: Duration) {
@@ -192,6 +205,14 @@
         let _ = arrived.wait_for(|n| *n >= count).await;
     }
 
+    /// Waits until it has refused `count` requests.
+    pub async fn await_refusals(&self, count: usize) {
+        let mut arrived = self.arrived.subscribe();
+        let refused = || self.arrivals().iter().filter(|a| !a.started).count();
+        // Cannot fail: the sender lives as long as `self`.
+        let _ = arrived.wait_for(|_| refused() >= count).await;
+    }
+
     /// Waits until no connection to it is open.
     pub async fn await_closed(&self) {
         let mut open = self.open.subscribe();
@@ -252,15 +273,25 @@
         shared, arrived, ..
     } = process;
     let mut buf = BytesMut::new();
+    let mut late = Vec::new();
     loop {
         let Some(head) = read_request(&mut tcp, &mut buf).await? else {
             return Ok(());
         };
+        tcp.write_all(&std::mem::take(&mut late)).await?;
         let mut arrival = Arrival::new(head);
         let (behaviour, crashes) = {
             let mut shared = lock(shared);
-            let behaviour = shared.script.pop_front().unwrap_or(Behaviour::Respond);
-            arrival.started = !matches!(behaviour, Behaviour::NotRun | Behaviour::Misdirected);
+            let resumes = arrival.header("last-event-id").is_some();
+            let behaviour = match (shared.resume_script, resumes) {
+                (Some((first, _)), false) => first,
+                (Some((_, next)), true) => next,
+                (None, _) => shared.script.pop_front().unwrap_or(Behaviour::Respond),
+            };
+            arrival.started = !matches!(
+                behaviour,
+                Behaviour::NotRun | Behaviour::Misdirected | Behaviour::RefuseTwice(_)
+            );
             shared.arrivals.push(arrival.clone());
             let crash = shared.crashes_on.as_ref();
             (
@@ -280,6 +311,9 @@
         let (bytes, keep_alive) = response(behaviour, &arrival);
         let limit = lock(shared).limit.clone();
         let bytes = with_limit(bytes, limit.as_deref());
+        if let Behaviour::RefuseTwice(_) = behaviour {
+            late = bytes.clone();
+        }
         let middle = match behaviour {
             Behaviour::Pause => bytes.len() - bytes.len() / 4,
             _ => bytes.len(),
@@ -367,6 +401,11 @@
                 true,
             )
         }
+        Behaviour::Response(status, body) => (head(status, id, &with_length(body)), true),
+        Behaviour::RefuseTwice(head) => {
+            let head = head.replace("ID", id);
+            (format!("HTTP/1.1 {head}Content-Length: 0\r\n\r\n"), true)
+        }
         Behaviour::Fail => {
             let failed = head("500 Internal Server Error", id, "Seal: s\r\n");
             (failed + &with_length("it failed"), true)
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod crashing_prompts;
 mod helper;
 mod large_configuration;
+mod late_refusals;
 mod nodes;
 mod odd_records;
 mod requests;
