Do not end a broken stream as complete on the next target's error

Cause: any success continued the stream, and the end of a connection before the first event counted as the end of a stream. Only a response with the status that the caller has already received resumes a stream now, and a response without a length is complete only after an event. A response whose length says that it is empty stays complete.

Not shown, and kept as tests: errors with status 3xx to 5xx, with or without bodies in the form of events.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -148,6 +150,9 @@
     /// The stream ended within an event.
     #[display("ended within an event")]
     Truncated,
+    /// The connection ended before any event of a response without a length.
+    #[display("ended before an event")]
+    Empty,
     /// The connection failed.
     #[display("{_0}")]
     Connection(hyper::Error),
@@ -167,6 +172,8 @@
 /// Reads events from a target's response.
 pub(crate) struct EventReader {
     body: Incoming,
+    // Whether the head says where the body ends; otherwise it ends with the connection.
+    framed: bool,
     buffer: EventBuffer,
     // The last event that the caller has.
     last: Option<u64>,
@@ -175,10 +182,12 @@
 }
 
 impl EventReader {
-    /// Reads the events that follow `last`.
-    pub fn new(body: Incoming, last: Option<u64>) -> Self {
+    /// Reads the events of a response that follow `last`.
+    pub fn new(head: &response::Parts, body: Incoming, last: Option<u64>) -> Self {
+        let h = &head.headers;
         Self {
             body,
+            framed: h.contains_key(CONTENT_LENGTH) || h.contains_key(TRANSFER_ENCODING),
             buffer: EventBuffer::default(),
             last,
             previous: None,
@@ -200,8 +209,11 @@
                     }
                 }
                 Some(Err(e)) => return Next::Broken(StreamError::Connection(e)),
-                None if self.buffer.is_empty() => return Next::End,
-                None => return Next::Broken(StreamError::Truncated),
+                None if !self.buffer.is_empty() => return Next::Broken(StreamError::Truncated),
+                None if !self.framed && self.previous.is_none() => {
+                    return Next::Broken(StreamError::Empty);
+                }
+                None => return Next::End,
             }
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,7 @@
 //! Relays a stream event by event and resumes it at another target when one fails.
 
 use bytes::Bytes;
-use http::{Response, header, response};
+use http::{Response, StatusCode, header, response};
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame};
 use log::info;
@@ -43,6 +43,8 @@
 
 pub(crate) struct Relay<P> {
     request: ActiveRequest<P>,
+    // Status that the caller has.
+    status: StatusCode,
     tx: Tx,
     last_event: Option<u64>,
 }
@@ -65,6 +67,7 @@
         request.gateway.metrics.first_token_ms.record(first_ms, &[]);
         let relay = Self {
             request,
+            status: started.parts.status,
             tx,
             last_event,
         };
@@ -74,7 +77,7 @@
 
     async fn run(mut self, slot: Slot, started: StartedStream) {
         let ended = self.relay_all(slot, started).await;
-        let status = 200;
+        let status = self.status.as_u16();
         match ended {
             Ended::Complete => self.request.record_end("complete", status),
             Ended::CallerGone => self.request.record_end("caller-gone", status),
@@ -119,6 +122,13 @@
                 () = tx.closed() => return Err(Ended::CallerGone),
             };
             match next {
+                Ok((dispatch, Attempt::Started(started)))
+                    if started.parts.status != self.status =>
+                {
+                    let (id, status) = (&self.request.admitted.head.id, started.parts.status);
+                    info!(event = "distrusted", request:% = id, target:% = dispatch.slot.target, reason = "other status", status = status.as_u16(); "response rejected");
+                    self.request.record_failure(dispatch, &Attempt::Malformed);
+                }
                 Ok((dispatch, Attempt::Started(started))) => {
                     info!(event = "resumed", request:% = self.request.admitted.head.id, target:% = dispatch.slot.target, after:? = self.last_event; "stream resumed on another target");
                     return Ok((dispatch.slot, *started));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -448,7 +448,7 @@
             self.record_limit(&head, dispatch);
         }
         if self.admitted.route.streams && parts.status.is_success() {
-            let mut reader = EventReader::new(body, last_event);
+            let mut reader = EventReader::new(&parts, body, last_event);
             let target = &dispatch.slot.target;
             let next = self.wait_or_fail_over(reader.next(), limit, target).await;
             return match next {
@@ -499,7 +499,9 @@
         info!(event = "broken_stream", request:% = self.admitted.head.id, target:% = target, events = self.events, error:% = e; "a target's stream broke");
         match e {
             StreamError::Malformed(_) => Attempt::Malformed,
-            StreamError::Truncated | StreamError::Connection(_) => Attempt::Broken,
+            StreamError::Truncated | StreamError::Empty | StreamError::Connection(_) => {
+                Attempt::Broken
+            }
         }
     }
 
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod crashing_prompts;
+mod failed_resumes;
 mod helper;
 mod large_configuration;
 mod late_refusals;
