Bound the bytes of responses that a node buffers

Cause: targets in trouble answered 500 with bodies without end. Such a body is read to its end before it is passed on, up to 16 MiB each, and nothing bounded the sum; nor that of events, at 1 MiB each.

A node now has one budget of 16 MiB for all of them, of which each response may hold as much as it leaves for others, so small responses always fit. A response over that fails like one with stray bytes. Heads of responses are limited to 64 KiB.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -4,7 +4,7 @@
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use log::debug;
@@ -29,6 +29,8 @@
 /// Idle time after which a connection may be dead without notice, in milliseconds; requests that
 /// must not run twice are sent on a new one.
 const MAX_FRESH_IDLE_MS: f64 = 500.0;
+/// Largest read buffer of a connection, and so the largest head of a response, in bytes.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to one target.
 const MAX_IDLE: usize = 16;
 
@@ -182,7 +184,10 @@
         Ok(Err(_)) => return Err(ConnectError::Refused),
         Err(_) => return Err(ConnectError::Timeout),
     };
-    let (tx, driver) = match handshake(TokioIo::new(tcp)).await {
+    let handshake = Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(tcp));
+    let (tx, driver) = match handshake.await {
         Ok(pair) => pair,
         Err(_) => return Err(ConnectError::Refused),
     };
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -7,6 +7,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::buffers::{OverBudget, Reservation};
+
 /// Largest event that is relayed, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -109,6 +111,11 @@
         }
     }
 
+    /// Number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether no bytes are buffered.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
@@ -153,6 +160,9 @@
     /// The connection ended before any event of a response without a length.
     #[display("ended before an event")]
     Empty,
+    /// The node may not buffer as much of it.
+    #[display("{_0}")]
+    TooLarge(OverBudget),
     /// The connection failed.
     #[display("{_0}")]
     Connection(hyper::Error),
@@ -175,6 +185,7 @@
     // Whether the head says where the body ends; otherwise it ends with the connection.
     framed: bool,
     buffer: EventBuffer,
+    reservation: Reservation,
     // The last event that the caller has.
     last: Option<u64>,
     // The last event of this response.
@@ -183,12 +194,18 @@
 
 impl EventReader {
     /// Reads the events of a response that follow `last`.
-    pub fn new(head: &response::Parts, body: Incoming, last: Option<u64>) -> Self {
+    pub fn new(
+        head: &response::Parts,
+        body: Incoming,
+        last: Option<u64>,
+        reservation: Reservation,
+    ) -> Self {
         let h = &head.headers;
         Self {
             body,
             framed: h.contains_key(CONTENT_LENGTH) || h.contains_key(TRANSFER_ENCODING),
             buffer: EventBuffer::default(),
+            reservation,
             last,
             previous: None,
         }
@@ -205,6 +222,10 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        let bytes = self.buffer.len() + data.len();
+                        if let Err(e) = self.reservation.resize(bytes) {
+                            return Next::Broken(StreamError::TooLarge(e));
+                        }
                         self.buffer.extend(&data);
                     }
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use crate::buffers::BufferBudget;
 use crate::connection::ConnectionPool;
 use crate::crash_sync::CrashGuard;
 use crate::limits::Limiter;
@@ -33,6 +34,8 @@
 const QUOTA_WAIT_SHARE: f64 = 0.2;
 /// Time reserved for the response to reach the caller, in milliseconds.
 const RESPONSE_TRANSIT_MS: f64 = 20.0;
+/// Bytes of responses that a node buffers before it passes them on.
+pub(crate) const MAX_BUFFERED_BYTES: usize = 16 << 20;
 /// Longest time for which any request is kept, in milliseconds.
 const MAX_REQUEST_MS: f64 = 86_400_000.0;
 /// Timeout for receiving a request body.
@@ -62,6 +65,7 @@
     pub replica: Arc<StoreReplica>,
     pub slots: Arc<Slots>,
     pub connections: Arc<ConnectionPool>,
+    pub buffers: Arc<BufferBudget>,
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
     pub crash_guard: Arc<CrashGuard>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! itself and relays the response. [`Protocol`] and [`Store`] are the adapter
 //! interfaces that a platform implements.
 
+mod buffers;
 mod catalog;
 mod catalog_sync;
 mod clock;
@@ -29,6 +30,7 @@
 mod stop;
 mod store_sync;
 
+pub use crate::buffers::{BufferBudget, OverBudget, Reservation};
 pub use crate::catalog::{Catalog, Limits, Pool, Quota, RetryPolicy, Route, Workspace};
 pub use crate::edge::{
     BadRequest, Batch, Feed, ListedNode, Lookup, Position, Protocol, Record, RequestHead, Store,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -27,11 +27,12 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::buffers::BufferBudget;
 use crate::catalog_sync::CatalogTransfer;
 use crate::connection::ConnectionPool;
 use crate::crash_sync::CrashGuard;
 use crate::follow::NodeList;
-use crate::gateway::{Body, Gateway};
+use crate::gateway::{Body, Gateway, MAX_BUFFERED_BYTES};
 use crate::limits::Limiter;
 use crate::local_scheduler::LocalScheduler;
 use crate::server::{StopPhase, accept, plain_response};
@@ -170,6 +171,7 @@
             replica: replica.clone(),
             slots: slots.clone(),
             connections: connections.clone(),
+            buffers: BufferBudget::new(MAX_BUFFERED_BYTES),
             directory: directory.clone(),
             limiter: limiter.clone(),
             crash_guard: crash_guard.clone(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,9 +3,10 @@
 //! A request counts as sent from just before its first byte goes to a target. From then on, the
 //! gateway reports it as not run only if the target itself has reported that.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use derive_more::{Display, From};
 use http::{Request, Response, Uri, request, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use log::info;
 use rwd_metrics::label;
@@ -15,6 +16,7 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+use crate::buffers::{OverBudget, Reservation};
 use crate::connection::{ConnectError, Connection, SendResult};
 use crate::events::{EventReader, Next, StreamError};
 use crate::gateway::{Admitted, Body, Gateway, InProgress};
@@ -23,8 +25,6 @@
 use crate::slots::Slot;
 use crate::{Protocol, RetryPolicy, TargetRequestHead, TargetResponseHead, clock};
 
-/// Largest response that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Minimum time left for which a request is still dispatched, in milliseconds.
 const MIN_DISPATCH_MS: f64 = 25.0;
 /// Number of refusals by targets after which the gateway gives up on a request.
@@ -448,7 +448,8 @@
             self.record_limit(&head, dispatch);
         }
         if self.admitted.route.streams && parts.status.is_success() {
-            let mut reader = EventReader::new(&parts, body, last_event);
+            let mut reader =
+                EventReader::new(&parts, body, last_event, self.gateway.buffers.reserve());
             let target = &dispatch.slot.target;
             let next = self.wait_or_fail_over(reader.next(), limit, target).await;
             return match next {
@@ -470,7 +471,7 @@
                 None => Attempt::Unresponsive,
             };
         }
-        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect();
+        let collected = collect(body, self.gateway.buffers.reserve());
         let collected = self.wait_or_fail_over(collected, limit, &dispatch.slot.target);
         match collected.await {
             Some(Ok(body)) => {
@@ -483,13 +484,19 @@
                     true => Attempt::NotRun {
                         misdirected: head.misdirected,
                     },
-                    false => Attempt::Complete(parts, body.to_bytes()),
+                    false => Attempt::Complete(parts, body),
                 }
             }
             Some(Err(_)) if head.not_run || head.misdirected => Attempt::NotRun {
                 misdirected: head.misdirected,
             },
-            Some(Err(_)) => Attempt::Broken,
+            Some(Err(e)) => {
+                info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.reused, error:% = e; "cannot read the response");
+                match e {
+                    CollectError::Connection(_) => Attempt::Broken,
+                    CollectError::TooLarge(_) => Attempt::Malformed,
+                }
+            }
             None => Attempt::Unresponsive,
         }
     }
@@ -498,7 +505,7 @@
     pub fn broken_stream(&self, target: &TargetName, e: &StreamError) -> Attempt {
         info!(event = "broken_stream", request:% = self.admitted.head.id, target:% = target, events = self.events, error:% = e; "a target's stream broke");
         match e {
-            StreamError::Malformed(_) => Attempt::Malformed,
+            StreamError::Malformed(_) | StreamError::TooLarge(_) => Attempt::Malformed,
             StreamError::Truncated | StreamError::Empty | StreamError::Connection(_) => {
                 Attempt::Broken
             }
@@ -639,6 +646,30 @@
     }
 }
 
+/// Why a response's body cannot be read.
+#[derive(Debug, Display, From)]
+enum CollectError {
+    /// The connection failed.
+    Connection(hyper::Error),
+    /// The node may not buffer it.
+    TooLarge(OverBudget),
+}
+
+// Reads a body to its end. The reservation lasts as long as the bytes.
+async fn collect(
+    mut body: Incoming,
+    mut reservation: Reservation,
+) -> std::result::Result<Bytes, CollectError> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            reservation.resize(buf.len() + data.len())?;
+            buf.extend_from_slice(&data);
+        }
+    }
+    Ok(reservation.attach(buf))
+}
+
 /// A slot and when the request was sent to its target.
 pub(crate) struct Dispatch {
     pub slot: Slot,
--- a/crates/lab/tests/gateway/stray_bytes.rs
+++ b/crates/lab/tests/gateway/stray_bytes.rs
@@ -107,3 +107,30 @@
         assert_eq!(cluster.runs("r1"), 2, "{name}");
     }
 }
+
+/// Guards against bodies and events without end that fill a node's memory: each is cut at its part of
+/// what the node may buffer, and requests at sound targets are served meanwhile.
+#[tokio::test]
+async fn bodies_without_end_leave_room_for_sound_responses() {
+    const PIECE: &[u8] = &[b'x'; 4096];
+    let cluster = TestCluster::start(1, 1, 4).await;
+    let addr = cluster.request_addr(0);
+    for head in [b"".as_slice(), b"id: 1\ndata: event 1\n\nid: 2\ndata: "] {
+        for target in &cluster.model_targets {
+            target.script(&[Behaviour::Endless(head, PIECE); 4]);
+        }
+        let endless = (0..16).map(|n| {
+            let call = post("/once/a", &format!("e{n}"));
+            tokio::spawn(async move { rwd_lab::site::call(addr, &call).await })
+        });
+        let endless: Vec<_> = endless.collect();
+        for n in 0..8 {
+            let result = cluster.call(&post("/unsafe/a", &format!("s{n}"))).await;
+            assert_eq!(result.status.map(|s| s.as_u16()), Some(200));
+        }
+        for call in endless {
+            let result = call.await.unwrap().unwrap();
+            assert_broken_off(&result, "endless");
+        }
+    }
+}
