Send nothing to targets that leave or hold this node off

A home node remembers both per target and checks each granted slot, whatever the request; a slot that must not be used is given back, and that is how schedulers learn, also those that take over. A scheduler grants a target that holds one home off to others, and lets that home's requests through one by one after the hold. Marks are of a name and a start time, so a successor under either is not affected.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -79,6 +79,22 @@
     pub encoded: bool,
     /// The requests per second that the target takes from all nodes together, if it limits them.
     pub limit: Option<Result<RequestRate, RateError>>,
+    /// Whether the target leaves and wants no new request.
+    pub leaving: bool,
+    /// For how long the target wants no other request from this node, in milliseconds.
+    pub hold_ms: Option<f64>,
+    /// Headers that were ignored because of their values.
+    pub bad_headers: Vec<BadHeader>,
+}
+
+/// A header of a response whose value has no meaning.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+#[display("{name}: `{value}`")]
+pub struct BadHeader {
+    /// The header.
+    pub name: CompactString,
+    /// Its value, or its values separated by commas.
+    pub value: CompactString,
 }
 
 /// The caller's location as given in a lookup.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,7 +25,9 @@
 use crate::refusal::Refusal;
 use crate::run::ActiveRequest;
 use crate::slots::Slots;
-use crate::{Catalog, Protocol, RequestHead, Route, StoreReplica, Workspace, clock};
+use crate::{
+    Catalog, Protocol, RequestHead, Route, StoreReplica, WithheldTargets, Workspace, clock,
+};
 
 /// Safety margin within `key_removal_ms`, in milliseconds: requests spend time in transit before
 /// their keys are checked.
@@ -66,6 +68,7 @@
     pub slots: Arc<Slots>,
     pub connections: Arc<ConnectionPool>,
     pub buffers: Arc<BufferBudget>,
+    pub withheld: Arc<WithheldTargets>,
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
     pub crash_guard: Arc<CrashGuard>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,12 +29,13 @@
 mod slots;
 mod stop;
 mod store_sync;
+mod withheld;
 
 pub use crate::buffers::{BufferBudget, OverBudget, Reservation};
 pub use crate::catalog::{Catalog, Limits, Pool, Quota, RetryPolicy, Route, Workspace};
 pub use crate::edge::{
-    BadRequest, Batch, Feed, ListedNode, Lookup, Position, Protocol, Record, RequestHead, Store,
-    StoreError, StoredBlock, TargetRequestHead, TargetResponseHead,
+    BadHeader, BadRequest, Batch, Feed, ListedNode, Lookup, Position, Protocol, Record,
+    RequestHead, Store, StoreError, StoredBlock, TargetRequestHead, TargetResponseHead,
 };
 pub use crate::events::{Event, EventBuffer, EventError};
 pub use crate::gateway::{Aborted, Body};
@@ -47,3 +48,4 @@
 pub use crate::shards::{Shard, partition};
 pub use crate::stop::ShutdownPlan;
 pub use crate::store_sync::{Role, pause_after_stale};
+pub use crate::withheld::{EndedHold, Withheld, WithheldTargets};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -42,7 +42,7 @@
 use crate::store_sync::Follower;
 use crate::{
     Bounds, GatewaySettings, Limits, Lookup, Protocol, Store, StoreError, StoreReplica,
-    catalog_sync, follow, store_sync,
+    WithheldTargets, catalog_sync, clock, follow, store_sync,
 };
 
 /// Probe period: a failed node must be out of lookup responses well within their lifetime.
@@ -74,6 +74,8 @@
 const SHARE_PERIOD: Duration = Duration::from_millis(500);
 /// Interval at which schedulers are told of limits of targets that they may not know.
 const LIMITS_PERIOD: Duration = Duration::from_millis(300);
+/// Period of dropping the holds of targets that have ended.
+const HOLDS_PERIOD: Duration = Duration::from_millis(200);
 /// Interval between two checks of the settings file and of idle connections.
 const MAINTENANCE_PERIOD: Duration = Duration::from_secs(3);
 
@@ -147,6 +149,7 @@
         let scheduler = Arc::new(LocalScheduler::new(PlacementSettings::default()));
         let replica = Arc::new(StoreReplica::default());
         let connections = Arc::new(ConnectionPool::default());
+        let withheld = Arc::new(WithheldTargets::default());
         let shards = Arc::new(Shards::default());
         let limiter = Arc::new(Limiter::new(
             instance.clone(),
@@ -172,6 +175,7 @@
             slots: slots.clone(),
             connections: connections.clone(),
             buffers: BufferBudget::new(MAX_BUFFERED_BYTES),
+            withheld: withheld.clone(),
             directory: directory.clone(),
             limiter: limiter.clone(),
             crash_guard: crash_guard.clone(),
@@ -255,6 +259,7 @@
         ));
         tasks.spawn(scheduler.clone().run());
         tasks.spawn(spread_limits(slots.clone(), timer.clone()));
+        tasks.spawn(end_holds(withheld, timer.clone()));
         tasks.spawn(crash_guard.clone().run(timer.clone()));
         tasks.spawn(crash_guard.clone().store_blocks(
             store_for_blocks,
@@ -570,6 +575,17 @@
     }
 }
 
+// Drops the holds of targets that have ended.
+async fn end_holds(withheld: Arc<WithheldTargets>, timer: Timer) {
+    let mut ticks = timer.every(HOLDS_PERIOD);
+    loop {
+        ticks.tick().await;
+        for ended in withheld.take_ended(clock::now()) {
+            info!(event = "hold_ended", target:% = ended.target, lasted_ms = ended.lasted_ms as u64; "the target may get requests again");
+        }
+    }
+}
+
 async fn maintain(
     timer: Timer,
     connections: Arc<ConnectionPool>,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -47,6 +47,12 @@
         /// Retry-after time for the caller, in milliseconds.
         retry_after_ms: f64,
     },
+    /// All targets want no request from this node for a while.
+    #[display("held")]
+    Held {
+        /// Time until the first one may get requests again, in milliseconds.
+        retry_after_ms: f64,
+    },
     /// Prompts like that of the request crash targets.
     #[display("crashes-targets")]
     CrashesTargets,
@@ -72,6 +78,7 @@
             Self::Stale
             | Self::Leaving
             | Self::Overload { .. }
+            | Self::Held { .. }
             | Self::CrashesTargets
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -88,9 +95,9 @@
 
     pub fn retry_after_ms(self) -> Option<f64> {
         match self {
-            Self::OverQuota { retry_after_ms } | Self::Overload { retry_after_ms } => {
-                Some(retry_after_ms)
-            }
+            Self::OverQuota { retry_after_ms }
+            | Self::Overload { retry_after_ms }
+            | Self::Held { retry_after_ms } => Some(retry_after_ms),
             // Another node accepts the request immediately.
             Self::Leaving => Some(0.0),
             Self::CrashesTargets => Some(BLOCKED_RETRY_AFTER_MS),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,6 +28,8 @@
     /// The first event; none if the stream ended without events.
     pub first: Option<Event>,
     pub sent: Timestamp,
+    /// Start time of the target's process.
+    pub born: u64,
 }
 
 type Tx = mpsc::Sender<Result<Bytes, Aborted>>;
@@ -95,11 +97,15 @@
 
     async fn relay_all(&mut self, mut slot: Slot, mut started: StartedStream) -> Ended {
         loop {
-            let sent = started.sent;
+            let (sent, born) = (started.sent, started.born);
             match self.relay_target(slot, started).await {
                 Ok(ended) => return ended,
                 Err((failed, attempt)) => {
-                    let dispatch = Dispatch { slot: failed, sent };
+                    let dispatch = Dispatch {
+                        slot: failed,
+                        sent,
+                        born,
+                    };
                     self.request.record_failure(dispatch, &attempt);
                     if self.request.is_expired() {
                         return Ended::TimedOut;
@@ -160,6 +166,7 @@
             connection,
             first,
             sent,
+            ..
         } = started;
         let first_ms = clock::now() - sent;
         slot.record_first_byte(first_ms).await;
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -333,6 +333,11 @@
         entry.is_some_and(|e| !e.leaving) && !inner.missing.contains_key(target)
     }
 
+    /// The start time of a listed target's process.
+    pub fn born(&self, target: &TargetName) -> Option<u64> {
+        self.lock().targets.get(target).map(|e| e.born)
+    }
+
     /// The targets of a pool; those whose entries are missing count as draining.
     pub fn targets(&self, pool: &PoolName) -> Vec<(TargetName, TargetEntry)> {
         let inner = self.lock();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,7 +23,7 @@
 use crate::refusal::Refusal;
 use crate::relay::{Relay, StartedStream};
 use crate::slots::Slot;
-use crate::{Protocol, RetryPolicy, TargetRequestHead, TargetResponseHead, clock};
+use crate::{Protocol, RetryPolicy, TargetRequestHead, TargetResponseHead, Withheld, clock};
 
 /// Minimum time left for which a request is still dispatched, in milliseconds.
 const MIN_DISPATCH_MS: f64 = 25.0;
@@ -31,6 +31,9 @@
 const MAX_REFUSALS: u32 = 3;
 /// Number of unreachable targets after which the gateway gives up on a request.
 const MAX_UNREACHABLE: u32 = 5;
+/// Number of slots given back unused after which the gateway gives up on a request. A scheduler that
+/// takes over learns of each such target from the first slot that is given back.
+const MAX_WITHHELD: u32 = 100;
 /// First-byte timeout of a target, as a multiple of the expected time to first byte.
 const FIRST_BYTE_TIMEOUT_FACTOR: f64 = 3.0;
 /// Minimum first-byte timeout, in milliseconds.
@@ -59,6 +62,8 @@
     arrivals: u32,
     refusals: u32,
     unreachable: u32,
+    // Slots that were given back because of what their targets' responses said.
+    withheld: u32,
     /// Events of the response that have been relayed.
     pub events: u32,
     /// When the current target began to write its response.
@@ -74,8 +79,10 @@
     Down,
     /// Nothing was sent, because the target is draining.
     Draining,
+    /// Nothing was sent, because of what the target's responses said.
+    Withheld(Withheld),
     /// The target has not run the request.
-    NotRun { misdirected: bool },
+    NotRun(SlotOutcome),
     /// A complete response.
     Complete(response::Parts, Bytes),
     /// The head and first event of a stream.
@@ -107,6 +114,7 @@
             arrivals: 0,
             refusals: 0,
             unreachable: 0,
+            withheld: 0,
             events: 0,
             writing_since: None,
             _in_progress: in_progress,
@@ -162,7 +170,12 @@
         let refusal = match self.sends {
             0 => {
                 self.gateway.refund_units(&self.admitted);
-                refusal
+                match (refusal, self.held_ms()) {
+                    (Refusal::NotRun | Refusal::Overload { .. }, Some(retry_after_ms)) => {
+                        Refusal::Held { retry_after_ms }
+                    }
+                    _ => refusal,
+                }
             }
             // The request may have run, so no other refusal would be true.
             _ if self.left_ms() < MIN_DISPATCH_MS => Refusal::Timeout,
@@ -225,7 +238,12 @@
         // It may have been blocked while it was queued.
         self.check_blocked()?;
         let sent = clock::now();
-        let mut dispatch = Dispatch { slot, sent };
+        let born = self.gateway.replica.born(&slot.target).unwrap_or_default();
+        let mut dispatch = Dispatch { slot, sent, born };
+        if let Some(withheld) = self.withheld(&dispatch) {
+            info!(event = "withheld", request:% = self.admitted.head.id, target:% = dispatch.slot.target, scheduler:% = dispatch.slot.scheduler, reason:? = withheld; "the scheduler granted a slot of a target that wants no request");
+            return Ok((dispatch, Attempt::Withheld(withheld)));
+        }
         if !self.gateway.replica.is_active(&dispatch.slot.target) {
             info!(event = "left", request:% = self.admitted.head.id, target:% = dispatch.slot.target, scheduler:% = dispatch.slot.scheduler; "the scheduler granted a slot of a draining target");
             return Ok((dispatch, Attempt::Draining));
@@ -250,6 +268,12 @@
         Ok((dispatch, attempt))
     }
 
+    // Why this node must not send requests to the target of a slot.
+    fn withheld(&self, dispatch: &Dispatch) -> Option<Withheld> {
+        let (target, now) = (&dispatch.slot.target, clock::now());
+        self.gateway.withheld.check(target, dispatch.born, now)
+    }
+
     fn check_blocked(&self) -> Result<(), Refusal> {
         let parts = &self.admitted.head.parts;
         match self.gateway.crash_guard.is_blocked(parts) {
@@ -446,6 +470,7 @@
         }
         if !head.misdirected {
             self.record_limit(&head, dispatch);
+            self.record_withheld(&head, dispatch);
         }
         if self.admitted.route.streams && parts.status.is_success() {
             let mut reader =
@@ -459,6 +484,7 @@
                     connection,
                     first: Some(first),
                     sent: dispatch.sent,
+                    born: dispatch.born,
                 })),
                 Some(Next::End) => Attempt::Started(Box::new(StartedStream {
                     parts,
@@ -466,6 +492,7 @@
                     connection,
                     first: None,
                     sent: dispatch.sent,
+                    born: dispatch.born,
                 })),
                 Some(Next::Broken(e)) => self.broken_stream(&dispatch.slot.target, &e),
                 None => Attempt::Unresponsive,
@@ -480,16 +507,14 @@
                 if head.id.is_some() {
                     self.gateway.connections.release(connection, &parts.headers);
                 }
-                match head.not_run || head.misdirected {
-                    true => Attempt::NotRun {
-                        misdirected: head.misdirected,
-                    },
-                    false => Attempt::Complete(parts, body),
+                match refusal_outcome(&head) {
+                    Some(outcome) => Attempt::NotRun(outcome),
+                    None => Attempt::Complete(parts, body),
                 }
             }
-            Some(Err(_)) if head.not_run || head.misdirected => Attempt::NotRun {
-                misdirected: head.misdirected,
-            },
+            Some(Err(_)) if head.not_run || head.misdirected => {
+                Attempt::NotRun(refusal_outcome(&head).unwrap_or_default())
+            }
             Some(Err(e)) => {
                 info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.reused, error:% = e; "cannot read the response");
                 match e {
@@ -538,6 +563,42 @@
         }
     }
 
+    // Records that the target leaves, or wants no request from this node for a while.
+    fn record_withheld(&self, head: &TargetResponseHead, dispatch: &Dispatch) {
+        let (id, target) = (&self.admitted.head.id, &dispatch.slot.target);
+        for bad in &head.bad_headers {
+            info!(event = "bad_header", request:% = id, target:% = target, error:% = bad; "a header of the response is ignored");
+        }
+        let withheld = &self.gateway.withheld;
+        if head.leaving && withheld.record_leaving(target, dispatch.born) {
+            info!(event = "target_leaving", request:% = id, target:% = target, born = dispatch.born, list_age_ms = self.gateway.replica.targets_age_ms() as u64; "the response says that its target leaves");
+            let labels = [label("reason", "leaving")];
+            self.gateway.metrics.targets_withheld.add(1, &labels);
+        }
+        if let Some(hold_ms) = head.hold_ms {
+            let left_ms = withheld.record_hold(target, hold_ms, clock::now());
+            info!(event = "hold", request:% = id, target:% = target, named_ms = hold_ms as u64, left_ms = left_ms as u64; "the target wants no request for a while");
+            let labels = [label("reason", "held")];
+            self.gateway.metrics.targets_withheld.add(1, &labels);
+        }
+    }
+
+    // Time until the first target of the request's pool may get requests from this node again, if none
+    // may now.
+    fn held_ms(&self) -> Option<f64> {
+        let now = clock::now();
+        let targets = self.gateway.replica.targets(&self.admitted.pool);
+        let active = targets.iter().filter(|(_, entry)| !entry.leaving);
+        let mut first = None;
+        for (name, entry) in active {
+            match self.gateway.withheld.check(name, entry.born, now)? {
+                Withheld::Leaving => (),
+                Withheld::Held { left_ms } => first = Some(left_ms.min(first.unwrap_or(left_ms))),
+            }
+        }
+        first
+    }
+
     // Why a response cannot be the target's complete response to this request.
     fn reject_reason(
         &self,
@@ -561,7 +622,14 @@
 
     /// Records a failed attempt and returns the refusal that the caller would get for it.
     pub fn record_failure(&mut self, dispatch: Dispatch, attempt: &Attempt) -> Refusal {
-        self.exclude.push(dispatch.slot.target.clone());
+        // A hold may end while the request waits.
+        let returns = match attempt {
+            Attempt::Withheld(Withheld::Held { left_ms }) => *left_ms < self.left_ms(),
+            _ => false,
+        };
+        if !returns {
+            self.exclude.push(dispatch.slot.target.clone());
+        }
         let ms = clock::now() - dispatch.sent;
         let (outcome, refusal, what) = match attempt {
             Attempt::Unreachable => {
@@ -576,15 +644,18 @@
                 self.unreachable += 1;
                 (SlotOutcome::Gone, Refusal::NotRun, "left")
             }
-            Attempt::NotRun { misdirected } => {
+            Attempt::Withheld(withheld) => {
+                self.withheld += 1;
+                let outcome = match *withheld {
+                    Withheld::Leaving => SlotOutcome::Leaving,
+                    Withheld::Held { left_ms } => SlotOutcome::Held { for_ms: left_ms },
+                };
+                (outcome, Refusal::NotRun, "withheld")
+            }
+            Attempt::NotRun(outcome) => {
                 self.arrivals += 1;
                 self.refusals += 1;
-                let outcome = if *misdirected {
-                    SlotOutcome::Gone
-                } else {
-                    SlotOutcome::Full
-                };
-                (outcome, Refusal::NotRun, "not_run")
+                (*outcome, Refusal::NotRun, "not_run")
             }
             Attempt::Unresponsive => {
                 self.arrivals += 1;
@@ -618,7 +689,8 @@
             Attempt::Unreachable | Attempt::Down | Attempt::Draining => {
                 self.unreachable < MAX_UNREACHABLE
             }
-            Attempt::NotRun { .. } => self.refusals < MAX_REFUSALS,
+            Attempt::Withheld(_) => self.withheld < MAX_WITHHELD,
+            Attempt::NotRun(_) => self.refusals < MAX_REFUSALS,
             _ => self.may_resend(),
         }
     }
@@ -674,6 +746,24 @@
 pub(crate) struct Dispatch {
     pub slot: Slot,
     pub sent: Timestamp,
+    /// Start time of the target's process, as listed at that time.
+    pub born: u64,
+}
+
+// How a refusal that has not run the request ends the use of its slot; `None` for other responses.
+fn refusal_outcome(head: &TargetResponseHead) -> Option<SlotOutcome> {
+    match head {
+        TargetResponseHead {
+            misdirected: true, ..
+        } => Some(SlotOutcome::Gone),
+        TargetResponseHead { not_run: false, .. } => None,
+        TargetResponseHead { leaving: true, .. } => Some(SlotOutcome::Leaving),
+        TargetResponseHead {
+            hold_ms: Some(for_ms),
+            ..
+        } => Some(SlotOutcome::Held { for_ms: *for_ms }),
+        _ => Some(SlotOutcome::Full),
+    }
 }
 
 // The ids of a prompt's parts, for logs.
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -20,6 +20,8 @@
     NotRun,
     /// Responds with 421: the request is meant for another target.
     Misdirected,
+    /// Refuses with this status line and these headers, and no id.
+    Refuse(&'static str),
     /// Refuses with this status line and these headers, and sends the same bytes once more when the next
     /// request arrives on the connection, before it responds to that.
     RefuseTwice(&'static str),
@@ -104,6 +106,8 @@
     crashes_on: Option<(String, Duration)>,
     // The value of `Server-Limit` in its responses.
     limit: Option<String>,
+    // Further headers of its responses.
+    headers: Vec<(String, String)>,
 }
 
 /// A running fake target; dropping it stops accepting connections.
@@ -188,6 +192,12 @@
         lock(&self.shared).limit = limit.map(str::to_owned);
     }
 
+    /// Adds these headers to all responses from now on, in place of those that were added before.
+    pub fn add_headers(&self, headers: &[(&str, &str)]) {
+        let owned = headers.iter().map(|(n, v)| ((*n).into(), (*v).into()));
+        lock(&self.shared).headers = owned.collect();
+    }
+
     /// Number of crashes so far.
     pub fn crashes(&self) -> usize {
         *self.crashes.borrow()
@@ -290,7 +300,10 @@
             };
             arrival.started = !matches!(
                 behaviour,
-                Behaviour::NotRun | Behaviour::Misdirected | Behaviour::RefuseTwice(_)
+                Behaviour::NotRun
+                    | Behaviour::Misdirected
+                    | Behaviour::Refuse(_)
+                    | Behaviour::RefuseTwice(_)
             );
             shared.arrivals.push(arrival.clone());
             let crash = shared.crashes_on.as_ref();
@@ -309,8 +322,12 @@
             return Ok(());
         }
         let (bytes, keep_alive) = response(behaviour, &arrival);
-        let limit = lock(shared).limit.clone();
-        let bytes = with_limit(bytes, limit.as_deref());
+        let (limit, mut headers) = {
+            let shared = lock(shared);
+            (shared.limit.clone(), shared.headers.clone())
+        };
+        headers.extend(limit.map(|limit| ("Server-Limit".to_owned(), limit)));
+        let bytes = with_headers(bytes, &headers);
         if let Behaviour::RefuseTwice(_) = behaviour {
             late = bytes.clone();
         }
@@ -402,6 +419,10 @@
             )
         }
         Behaviour::Response(status, body) => (head(status, id, &with_length(body)), true),
+        Behaviour::Refuse(head) => (
+            format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n"),
+            true,
+        ),
         Behaviour::RefuseTwice(head) => {
             let head = head.replace("ID", id);
             (format!("HTTP/1.1 {head}Content-Length: 0\r\n\r\n"), true)
@@ -437,13 +458,14 @@
     (text.into_bytes(), keep_alive)
 }
 
-// Inserts the limit after the status line.
-fn with_limit(bytes: Vec<u8>, limit: Option<&str>) -> Vec<u8> {
+// Inserts headers after the status line.
+fn with_headers(bytes: Vec<u8>, headers: &[(String, String)]) -> Vec<u8> {
     let line_end = bytes.windows(2).position(|w| w == b"\r\n");
-    match (limit, line_end) {
-        (Some(limit), Some(end)) if bytes.starts_with(b"HTTP/1.1") => {
-            let header = format!("\r\nServer-Limit: {limit}");
-            [&bytes[..end], header.as_bytes(), &bytes[end..]].concat()
+    match line_end {
+        Some(end) if bytes.starts_with(b"HTTP/1.1") => {
+            let headers = headers.iter().map(|(n, v)| format!("\r\n{n}: {v}"));
+            let headers: String = headers.collect();
+            [&bytes[..end], headers.as_bytes(), &bytes[end..]].concat()
         }
         _ => bytes,
     }
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -14,3 +14,4 @@
 mod store;
 mod stray_bytes;
 mod target_limits;
+mod withheld_targets;
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -54,6 +54,8 @@
     pub sends_failed: Counter<u64>,
     /// Changes of targets' request limits that responses brought, by kind.
     pub limits_changed: Counter<u64>,
+    /// Responses that ended or interrupted the use of their targets, by reason.
+    pub targets_withheld: Counter<u64>,
     /// Failed reads of the store, by feed.
     pub store_reads_failed: Counter<u64>,
 }
@@ -85,6 +87,7 @@
             slot_wait_ms: latency(&meter, "slot_wait_ms"),
             sends_failed: counter(&meter, "sends_failed"),
             limits_changed: counter(&meter, "limits_changed"),
+            targets_withheld: counter(&meter, "targets_withheld"),
             store_reads_failed: counter(&meter, "store_reads_failed"),
             _provider: provider,
         })
--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -116,4 +116,11 @@
     Broken,
     /// No data arrived for longer than the target should need.
     Silent,
+    /// The target says that it leaves.
+    Leaving,
+    /// The target wants no request from the home node.
+    Held {
+        /// For how long, in milliseconds.
+        for_ms: f64,
+    },
 }
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -544,7 +544,7 @@
         cfg: &PlacementSettings,
         now: Timestamp,
     ) -> Vec<(OfferId, Decision)> {
-        let active = self.targets.values().filter(|t| !t.info.leaving).count();
+        let active = self.targets.values().filter(|t| !t.is_leaving()).count();
         let window_start = now + -LATE_WINDOW_MS;
         while self.late_grants.front().is_some_and(|t| *t < window_start) {
             self.late_grants.pop_front();
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -55,6 +55,8 @@
 /// Backoff after a target's address responds as another target, in milliseconds; by then the
 /// target list has been refreshed.
 const GONE_BACKOFF_MS: f64 = 1000.0;
+/// Maximum number of homes that are remembered as put off by one target.
+const MAX_HOLDS: usize = 64;
 /// Fraction of a target's memory that may be allocated.
 const MAX_MEMORY_FRACTION: f64 = 0.9;
 /// Weight of the decode time in the cost. It is below 1 because callers wait for the first token,
@@ -151,6 +153,11 @@
     failures_at: Timestamp,
     backoff_until: Timestamp,
     backoffs: IndexMap<InstanceName, Backoff>,
+    // Homes that the target has put off, and until when. After that each sends one request at a time
+    // until one has completed.
+    holds: IndexMap<InstanceName, Timestamp>,
+    // Whether the target itself says that it leaves.
+    says_leaving: bool,
     // While the target is down, it is probed with one request at a time.
     down: Option<Backoff>,
     last_response: Option<Timestamp>,
@@ -172,6 +179,8 @@
             failures_at: Timestamp::default(),
             backoff_until: Timestamp::default(),
             backoffs: IndexMap::new(),
+            holds: IndexMap::new(),
+            says_leaving: false,
             down: None,
             last_response: None,
         }
@@ -203,6 +212,7 @@
         };
         self.is_usable(now)
             && !self.is_backed_off_for(&offer.home, now)
+            && !self.is_held_for(&offer.home, now)
             && self.in_flight.len() < slots
             && self.limit.allows(now)
             && fits
@@ -220,7 +230,12 @@
             None => true,
             Some(b) => now >= b.until && self.in_flight.is_empty(),
         };
-        !self.info.leaving && now >= self.backoff_until && is_up
+        !self.is_leaving() && now >= self.backoff_until && is_up
+    }
+
+    /// Whether the target is draining, by its entry or by what it says itself.
+    pub fn is_leaving(&self) -> bool {
+        self.info.leaving || self.says_leaving
     }
 
     /// Whether the target has responded recently.
@@ -232,6 +247,25 @@
         self.backoffs.get(home).is_some_and(|b| b.until > now)
     }
 
+    fn is_held_for(&self, home: &InstanceName, now: Timestamp) -> bool {
+        self.holds.get(home).is_some_and(|until| {
+            let since = |f: &InFlight| f.home == *home && f.granted_at >= *until;
+            now < *until || self.in_flight.values().any(since)
+        })
+    }
+
+    fn hold(&mut self, home: InstanceName, until: Timestamp, now: Timestamp) {
+        let known = self.holds.get(&home).copied().unwrap_or(until);
+        self.holds.insert(home, Timestamp(known.0.max(until.0)));
+        if self.holds.len() > MAX_HOLDS {
+            self.holds.retain(|_, until| *until > now);
+        }
+        // A home that is forgotten gives its next slot back.
+        while self.holds.len() > MAX_HOLDS {
+            self.holds.shift_remove_index(0);
+        }
+    }
+
     /// Whether the target is usable, has a free slot and is below its request limit.
     pub fn has_free_slot(&self, now: Timestamp) -> bool {
         self.is_usable(now) && self.in_flight.len() < self.max_in_flight() && self.limit.allows(now)
@@ -384,6 +418,8 @@
             // The home node may have sent the request before its caller disconnected.
             SlotOutcome::Unused => (),
             SlotOutcome::Broken | SlotOutcome::Silent => (),
+            // The slot may have been given back unused.
+            SlotOutcome::Leaving | SlotOutcome::Held { .. } => (),
             _ => {
                 self.last_response = Some(now);
                 self.down = None;
@@ -392,6 +428,8 @@
         }
         match outcome {
             SlotOutcome::Unused => (),
+            SlotOutcome::Leaving => self.says_leaving = true,
+            SlotOutcome::Held { for_ms } => self.hold(done.home, now + for_ms, now),
             SlotOutcome::Complete {
                 first_ms,
                 rest_ms,
@@ -420,6 +458,13 @@
         output: u32,
         now: Timestamp,
     ) {
+        if self
+            .holds
+            .get(&done.home)
+            .is_some_and(|until| *until <= now)
+        {
+            self.holds.swap_remove(&done.home);
+        }
         self.failures = self.failures(now) * SUCCESS_FACTOR;
         self.failures_at = now;
         if done.tokens == 0 {
--- a/crates/placement/tests/placement/main.rs
+++ b/crates/placement/tests/placement/main.rs
@@ -5,3 +5,4 @@
 mod limits;
 mod overload;
 mod properties;
+mod withheld;
