Pause targets that hold off one node after the other

Such a target is now granted to nobody for 120 ms, doubling up to 1 s, until a response is complete. Ruled out: a larger number of holds (nodes x targets at each scheduler).

--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -55,6 +55,8 @@
 /// Backoff after a target's address responds as another target, in milliseconds; by then the
 /// target list has been refreshed.
 const GONE_BACKOFF_MS: f64 = 1000.0;
+/// Longest backoff of a target that puts off one home after the other, in milliseconds.
+const MAX_HELD_BACKOFF_MS: f64 = 1000.0;
 /// Maximum number of homes that are remembered as put off by one target.
 const MAX_HOLDS: usize = 64;
 /// Fraction of a target's memory that may be allocated.
@@ -156,6 +158,8 @@
     // Homes that the target has put off, and until when. After that each sends one request at a time
     // until one has completed.
     holds: IndexMap<InstanceName, Timestamp>,
+    // Holds in a row without a complete response between them.
+    holds_in_row: u32,
     // Whether the target itself says that it leaves.
     says_leaving: bool,
     // While the target is down, it is probed with one request at a time.
@@ -180,6 +184,7 @@
             backoff_until: Timestamp::default(),
             backoffs: IndexMap::new(),
             holds: IndexMap::new(),
+            holds_in_row: 0,
             says_leaving: false,
             down: None,
             last_response: None,
@@ -266,6 +271,16 @@
         }
     }
 
+    // A target that puts off one home after the other takes no request of any.
+    fn back_off_if_held_again(&mut self, now: Timestamp) {
+        self.holds_in_row += 1;
+        if self.holds_in_row > 1 {
+            let doubled = 2_f64.powi(self.holds_in_row.min(16) as i32 - 2);
+            let ms = (FULL_BACKOFF_MS * doubled).min(MAX_HELD_BACKOFF_MS);
+            self.backoff_until = Timestamp(self.backoff_until.0.max((now + ms).0));
+        }
+    }
+
     /// Whether the target is usable, has a free slot and is below its request limit.
     pub fn has_free_slot(&self, now: Timestamp) -> bool {
         self.is_usable(now) && self.in_flight.len() < self.max_in_flight() && self.limit.allows(now)
@@ -429,7 +444,10 @@
         match outcome {
             SlotOutcome::Unused => (),
             SlotOutcome::Leaving => self.says_leaving = true,
-            SlotOutcome::Held { for_ms } => self.hold(done.home, now + for_ms, now),
+            SlotOutcome::Held { for_ms } => {
+                self.hold(done.home, now + for_ms, now);
+                self.back_off_if_held_again(now);
+            }
             SlotOutcome::Complete {
                 first_ms,
                 rest_ms,
@@ -465,6 +483,7 @@
         {
             self.holds.swap_remove(&done.home);
         }
+        self.holds_in_row = 0;
         self.failures = self.failures(now) * SUCCESS_FACTOR;
         self.failures_at = now;
         if done.tokens == 0 {
