--- a/crates/lab/tests/withheld_storms.rs
+++ b/crates/lab/tests/withheld_storms.rs
@@ -70,6 +70,13 @@
     exclude: Vec<TargetName>,
 }
 
+struct Refusal {
+    at: f64,
+    hold_ms: f64,
+    // Requests that reached the target although it wants none.
+    arrivals: usize,
+}
+
 struct Response {
     at: f64,
     scheduler: usize,
@@ -100,8 +107,8 @@
     responses: Vec<Response>,
     // When a node first passed on that a target's process leaves.
     told: BTreeMap<(usize, TargetName, u64), f64>,
-    // Refusals of a node by a target: when, for how long, and requests that count against it.
-    refusals: BTreeMap<(usize, TargetName), Vec<(f64, f64, usize)>>,
+    // Refusals of a node by a target.
+    refusals: BTreeMap<(usize, TargetName), Vec<Refusal>>,
     names: usize,
     counts: Counts,
 }
@@ -282,10 +289,11 @@
             self.counts.drain_breaks += 1;
         }
         let refusals = self.refusals.entry((request.home, target.clone()));
-        for (at, hold_ms, count) in refusals.or_default() {
-            if self.now > *at + HOLD_GRACE_MS && self.now < *at + *hold_ms {
-                *count += 1;
-                self.counts.hold_breaks += usize::from(*count == HOLD_ALLOWED + 1);
+        for refusal in refusals.or_default() {
+            let since = self.now - refusal.at;
+            if since > HOLD_GRACE_MS && since < refusal.hold_ms {
+                refusal.arrivals += 1;
+                self.counts.hold_breaks += usize::from(refusal.arrivals == HOLD_ALLOWED + 1);
             }
         }
         let hold_ms = holds_off.then(|| self.rng.random_range(600.0..4000.0));
@@ -320,7 +328,11 @@
                 (Some(for_ms), heeds) => {
                     node.record_hold(&r.target, for_ms, Timestamp(now));
                     let key = (r.request.home, r.target.clone());
-                    self.refusals.entry(key).or_default().push((now, for_ms, 0));
+                    self.refusals.entry(key).or_default().push(Refusal {
+                        at: now,
+                        hold_ms: for_ms,
+                        arrivals: 0,
+                    });
                     match heeds {
                         true => SlotOutcome::Held { for_ms },
                         false => SlotOutcome::Full,
