Ask all readers at the same time when one does not reply

Cause: 7 of 9 nodes lose power at once, the reader of the store and its successors among them. They do not refuse connections, so pulls from them took their timeouts one after the other, and then the survivors waited until their lists were 2.5 s old, a threshold that protects a store that is down from all nodes at once. Nothing indicated that it was: the readers did not reply at all.

After the first pull without a reply the other readers are asked at the same time, and the first eight nodes of a group read the store when none has replied, whatever the age of their lists. Failed pulls are counted from the first of them: the count was reset every 3 s, also in the middle of a round. Ruled out: a lower threshold, which would send the reads of eight nodes per group to each store that is slow for a second.

readers.rs: the test that allowed no reads of nodes beyond the third with 'isolated' set and a list younger than 2.5 s now allows them for positions 3 to 7 if three pulls got no reply at all, and still for no others; it runs over all numbers of unanswered pulls. The new test fails before: choose(3, 3, 1400.0, lost) was Follow or FollowAny.

--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -5,7 +5,8 @@
 //! request, so a delayed reply cannot look fresher than it is. If the reader fails
 //! or cannot reach the store, its successors take over. If those fail too, the
 //! other nodes pull from nodes of any group, and only some of them read the store:
-//! a failing store must not get reads from all nodes at once. A reader that cannot
+//! a failing store must not get reads from all nodes at once. If they do not reply at
+//! all, those few read it at once. A reader that cannot
 //! reach the store pulls from other nodes.
 
 use log::{debug, info, warn};
@@ -84,15 +85,18 @@
 
 impl Role {
     /// The role of the node at `position` in its group's order of readers, whose last `failed` pulls
-    /// brought no fresh replica. Its own is `stale_ms` milliseconds old; `isolated` tells whether
-    /// the other nodes do not reply.
-    pub fn choose(position: usize, failed: usize, stale_ms: f64, isolated: bool) -> Self {
+    /// brought no fresh replica. Its own is `stale_ms` milliseconds old; the last `unanswered` pulls
+    /// got no reply at all.
+    pub fn choose(position: usize, failed: usize, stale_ms: f64, unanswered: usize) -> Self {
         let readers = position.min(MAX_READERS);
-        let may_read = position < MAX_READERS + MAX_FALLBACK_READERS || isolated;
+        let is_fallback = position < MAX_READERS + MAX_FALLBACK_READERS;
+        let may_read = is_fallback || unanswered >= ISOLATED_AFTER;
         match position {
             0 => Self::Read,
             _ if failed < readers => Self::Follow(failed),
             _ if position < MAX_READERS => Self::Read,
+            // The readers are lost together; nothing indicates that the store is.
+            _ if is_fallback && unanswered >= readers => Self::Read,
             _ if stale_ms > FALLBACK_STALE_MS && may_read => Self::Read,
             _ if failed.is_multiple_of(2) => Self::Follow(failed / 2 % readers),
             _ => Self::FollowAny,
@@ -128,15 +132,15 @@
             let ranked = self.ranked();
             let position = ranked.iter().position(|n| *n == self.own).unwrap_or(0);
             let now = clock::now();
-            if now >= failed_until {
+            // Counted from the first failure: a round of readers is not begun anew in its middle.
+            if failed == 0 || now >= failed_until {
                 failed = 0;
                 failed_until = now + FALLBACK_READ_MS;
             }
-            let isolated = unanswered >= ISOLATED_AFTER;
             let stale_ms = self.stale_ms().min(now - started);
             let role = match now < read_until {
                 true => Role::Read,
-                false => Role::choose(position, failed, stale_ms, isolated),
+                false => Role::choose(position, failed, stale_ms, unanswered),
             };
             let peer = match role {
                 Role::Follow(n) => Some(ranked[n].clone()),
@@ -175,6 +179,14 @@
                     unanswered += 1;
                     failed += 1;
                     info!(event = "reader_lost", reader:% = peer, error:% = e; "trying another reader");
+                    if failed == 1 {
+                        // Several readers may be lost at once; their timeouts must not add up.
+                        let readers = ranked.iter().take(position.min(MAX_READERS));
+                        let others = readers.filter(|n| **n != peer).cloned().collect();
+                        let lost = self.pull_from_all(others).await;
+                        unanswered += lost;
+                        failed += lost;
+                    }
                     sleep(pause_after_stale(failed)).await;
                 }
             }
@@ -276,19 +288,48 @@
         }
     }
 
+    // Pulls from several nodes at the same time until one has a fresh replica. Otherwise returns how
+    // many did not reply.
+    async fn pull_from_all(&mut self, names: Vec<InstanceName>) -> usize {
+        let mut pulls = JoinSet::new();
+        for name in names {
+            let links = self.links.clone();
+            // Each reply is to bring the whole list, as their changes have numbers of their own.
+            let cursor = StoreCursor {
+                catalog: self.transfer.newest(),
+                ..StoreCursor::default()
+            };
+            pulls.spawn(async move { (ask_news(&links, &name, cursor).await, name) });
+        }
+        let mut lost = 0;
+        while let Some(done) = pulls.join_next().await {
+            match done {
+                Ok((Ok((update, requested_at)), name)) => {
+                    self.accept(&name, update, requested_at);
+                    if !self.is_stale() {
+                        return 0;
+                    }
+                }
+                Ok((Err(e), name)) => {
+                    lost += 1;
+                    info!(event = "reader_lost", reader:% = name, error:% = e; "trying another reader");
+                }
+                Err(e) => warn!(error:% = e; "pulling from a reader failed"),
+            }
+        }
+        lost
+    }
+
     async fn pull(&mut self, name: &InstanceName) -> rwd_peer::Result<()> {
         self.cursor.catalog = self.transfer.newest();
-        let requested_at = clock::now();
-        let request = Message::AskNews(self.cursor);
-        let reply = self
-            .links
-            .ask(name, &request, LONG_POLL_WAIT + REPLY_MARGIN)
-            .await?;
-        let Message::News(update) = reply else {
-            return Err(Error::Unexpected);
-        };
+        let (update, requested_at) = ask_news(&self.links, name, self.cursor).await?;
+        self.accept(name, update, requested_at);
+        Ok(())
+    }
+
+    fn accept(&mut self, name: &InstanceName, update: StoreUpdate, requested_at: Timestamp) {
         let (epoch, change) = (update.epoch, update.change);
-        let applied = self.apply(name, *update, requested_at);
+        let applied = self.apply(name, update, requested_at);
         self.cursor = match applied {
             true => StoreCursor {
                 epoch,
@@ -298,7 +339,6 @@
             // Resets the cursor so that the next reply brings the complete list again.
             false => StoreCursor::default(),
         };
-        Ok(())
     }
 
     // Returns whether the target entries were applied.
@@ -318,6 +358,21 @@
     }
 }
 
+// Asks a node for the changes after a cursor; returns them and when they were requested.
+async fn ask_news(
+    links: &Links,
+    name: &InstanceName,
+    cursor: StoreCursor,
+) -> rwd_peer::Result<(StoreUpdate, Timestamp)> {
+    let requested_at = clock::now();
+    let request = Message::AskNews(cursor);
+    let reply = links.ask(name, &request, LONG_POLL_WAIT + REPLY_MARGIN);
+    match reply.await? {
+        Message::News(update) => Ok((*update, requested_at)),
+        _ => Err(Error::Unexpected),
+    }
+}
+
 /// Replies to a follower's request, at once if there is an update.
 pub(crate) async fn serve_pull(
     replica: &StoreReplica,
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -6,18 +6,18 @@
 /// Without failures one node of a group reads and all others follow it.
 #[test]
 fn one_node_of_a_group_reads() {
-    assert_eq!(Role::choose(0, 0, 0.0, false), Role::Read);
+    assert_eq!(Role::choose(0, 0, 0.0, 0), Role::Read);
     for position in 1..70 {
-        assert_eq!(Role::choose(position, 0, 900.0, false), Role::Follow(0));
+        assert_eq!(Role::choose(position, 0, 900.0, 0), Role::Follow(0));
     }
 }
 
 /// The store rejects the first reader and serves the others.
 #[test]
 fn only_the_next_successor_takes_over_from_a_failed_reader() {
-    assert_eq!(Role::choose(1, 1, 1600.0, false), Role::Read);
+    assert_eq!(Role::choose(1, 1, 1600.0, 0), Role::Read);
     for position in 2..70 {
-        assert_eq!(Role::choose(position, 1, 1600.0, false), Role::Follow(1));
+        assert_eq!(Role::choose(position, 1, 1600.0, 0), Role::Follow(1));
     }
 }
 
@@ -26,30 +26,48 @@
 fn other_nodes_read_only_after_all_readers_have_failed_for_long() {
     for position in 3..70 {
         for failed in 0..9 {
-            let role = Role::choose(position, failed, 2400.0, true);
-            let follows = matches!(role, Role::Follow(n) if n < 3);
-            assert!(
-                follows || (role == Role::FollowAny && failed >= 3),
-                "{role:?}"
-            );
+            for unanswered in 0..9 {
+                let role = Role::choose(position, failed, 2400.0, unanswered);
+                let follows = matches!(role, Role::Follow(n) if n < 3);
+                let reads = role == Role::Read && unanswered >= 3 && position < 8;
+                assert!(
+                    follows || reads || (role == Role::FollowAny && failed >= 3),
+                    "{position} {failed} {unanswered}: {role:?}"
+                );
+            }
         }
     }
 }
 
+/// Guards against nodes that use a stale list because all readers have lost power at once: what the
+/// readers lost is not what the store lost, and the timeouts of three of them are most of two seconds.
+#[test]
+fn a_few_nodes_read_at_once_when_all_readers_are_lost() {
+    for position in 3..8 {
+        assert_eq!(Role::choose(position, 3, 1400.0, 3), Role::Read);
+        // Readers that reply with stale replicas have lost the store.
+        assert_ne!(Role::choose(position, 3, 1600.0, 0), Role::Read);
+        assert_ne!(Role::choose(position, 3, 1600.0, 2), Role::Read);
+    }
+    for position in 8..70 {
+        assert_ne!(Role::choose(position, 3, 1400.0, 3), Role::Read);
+    }
+}
+
 /// The store is down for long, and all replicas are stale. A few nodes of each group try it, early
 /// enough for the bound on removed keys; the others ask nodes of their own and of other groups.
 #[test]
 fn a_store_that_is_down_gets_reads_from_few_nodes_of_each_group() {
     for failed in 3..40 {
         let roles: Vec<_> = (0..70)
-            .map(|position| Role::choose(position, failed, 2600.0, false))
+            .map(|position| Role::choose(position, failed, 2600.0, 0))
             .collect();
         let reading = roles.iter().filter(|r| **r == Role::Read).count();
         assert_eq!(reading, 8, "{failed} failed");
         assert!(roles[3..8].iter().all(|r| *r == Role::Read), "{roles:?}");
     }
     let tried: Vec<_> = (3..9)
-        .map(|failed| Role::choose(20, failed, 2600.0, false))
+        .map(|failed| Role::choose(20, failed, 2600.0, 0))
         .collect();
     assert!(
         tried.contains(&Role::FollowAny) && tried.contains(&Role::Follow(2)),
@@ -61,7 +79,7 @@
 #[test]
 fn an_isolated_node_reads_the_store_itself() {
     for position in 3..70 {
-        assert_eq!(Role::choose(position, 3, 2600.0, true), Role::Read);
+        assert_eq!(Role::choose(position, 3, 2600.0, 3), Role::Read);
     }
 }
 
