Let more nodes read the store when no reader replies

When no reader replies at all, the store is not what failed, so the first 16 nodes of a group read it then: with three quarters of the nodes lost, one group in 100 has none of them left.

--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -6,7 +6,7 @@
 //! or cannot reach the store, its successors take over. If those fail too, the
 //! other nodes pull from nodes of any group, and only some of them read the store:
 //! a failing store must not get reads from all nodes at once. If they do not reply at
-//! all, those few read it at once. A reader that cannot
+//! all, some more read it at once: the store is not what failed. A reader that cannot
 //! reach the store pulls from other nodes.
 
 use log::{debug, info, warn};
@@ -39,6 +39,9 @@
 /// Maximum nodes of a group beside its readers that read the store while their replicas are stale.
 /// With a third of the nodes cut off from the store, one group in 6,000 has no other node left.
 const MAX_FALLBACK_READERS: usize = 5;
+/// Maximum nodes of a group that read the store as soon as no reader replies. With three quarters of
+/// the nodes lost, one group in 100 has none of them left.
+const MAX_SURVIVING_READERS: usize = 16;
 /// Failed pulls in a row after which a node takes itself for cut off from the others.
 const ISOLATED_AFTER: usize = 3;
 /// How long a node reads the store itself after its readers failed, and how long a failed reader is
@@ -91,12 +94,13 @@
         let readers = position.min(MAX_READERS);
         let is_fallback = position < MAX_READERS + MAX_FALLBACK_READERS;
         let may_read = is_fallback || unanswered >= ISOLATED_AFTER;
+        let readers_lost = unanswered >= readers;
         match position {
             0 => Self::Read,
             _ if failed < readers => Self::Follow(failed),
             _ if position < MAX_READERS => Self::Read,
             // The readers are lost together; nothing indicates that the store is.
-            _ if is_fallback && unanswered >= readers => Self::Read,
+            _ if readers_lost && position < MAX_SURVIVING_READERS => Self::Read,
             _ if stale_ms > FALLBACK_STALE_MS && may_read => Self::Read,
             _ if failed.is_multiple_of(2) => Self::Follow(failed / 2 % readers),
             _ => Self::FollowAny,
