Test that errors of the next target block no prompt

Suspected while reading: an error that answers a resumed stream takes the path of a broken connection, which reports a crash under the prompt. The test stays.

--- a/crates/lab/tests/gateway/failed_resumes.rs
+++ b/crates/lab/tests/gateway/failed_resumes.rs
@@ -2,6 +2,7 @@
 
 use crate::helper::{TestCluster, post};
 use rwd_lab::site::{Behaviour, STREAM_EVENTS};
+use std::time::Duration;
 
 /// Two events, and a part of the third one.
 const CUT: Behaviour =
@@ -100,3 +101,30 @@
     assert_eq!(result.status.map(|s| s.as_u16()), Some(200));
     assert!(result.complete && result.body.is_empty());
 }
+
+/// Guards against errors of the next target, or stray bytes of the first one, that count as crashes that
+/// the prompt has caused: requests that share a part with these would be refused.
+#[tokio::test]
+async fn errors_of_the_next_target_block_no_prompt() {
+    let cluster = TestCluster::start(1, 1, 2).await;
+    for target in &cluster.model_targets {
+        let stray = Behaviour::Body(b"id: 1\ndata: event 1\n\nno event\n\n");
+        let error = Behaviour::Response("500 Internal Server Error\r\nSeal: s", "it failed");
+        target.script_resume(stray, error);
+    }
+    let mut statuses = Vec::new();
+    let mut ticks = tokio::time::interval(Duration::from_millis(300));
+    // Long enough for a block: several rounds of crashes, and the time in which they may be cleared.
+    for n in 0..14 {
+        ticks.tick().await;
+        let call = post("/resume/a", &format!("r{n}"))
+            .header("prompt-prefix", &format!("aaa:60,b{n}:50"))
+            .header("token-count", "110,8");
+        let result = cluster.call(&call).await;
+        statuses.push(result.status.map(|s| s.as_u16()));
+    }
+    assert_eq!(statuses, [Some(200); 14]);
+    let arrivals = cluster.model_targets.iter().flat_map(|t| t.arrivals());
+    let resumed = arrivals.filter(|a| a.header("last-event-id").is_some());
+    assert_eq!(resumed.count(), 14);
+}
