Log what proves that a target has not run a request

Two dispatches of a request that may run once differ by what lay between them, and the lines did not say: the status of a refusal, whether it had the request's id, and what its connection had carried before. A send on a connection that turned out to be closed left no line.

refused_by_target and not_sent, arrivals and may_repeat in dispatch, and a counter refused_by_targets by what proves the refusal. No logic is changed.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -59,11 +59,18 @@
 pub(crate) struct Connection {
     address: SocketAddr,
     tx: SendRequest<Full<Bytes>>,
-    /// Whether the connection has served an earlier request.
-    pub reused: bool,
+    /// Requests that were sent on it before the current one.
+    pub earlier: u32,
+    /// How long it was idle before the current request, in milliseconds.
+    pub idle_ms: f64,
 }
 
 impl Connection {
+    /// Whether an earlier request was sent on it.
+    pub fn is_reused(&self) -> bool {
+        self.earlier > 0
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> SendResult {
         match self.tx.try_send_request(req).await {
@@ -117,7 +124,13 @@
                 idle.push(newest);
                 None
             }
-            false => Some(newest.connection),
+            false => {
+                let idle_ms = now - newest.since;
+                Some(Connection {
+                    idle_ms,
+                    ..newest.connection
+                })
+            }
         }
     }
 
@@ -126,7 +139,7 @@
         let Some(keep_alive_ms) = keep_alive_ms(response) else {
             return;
         };
-        connection.reused = true;
+        connection.earlier += 1;
         let since = clock::now();
         let until = since + keep_alive_ms;
         let mut all = self.lock();
@@ -199,6 +212,7 @@
     Ok(Connection {
         address,
         tx,
-        reused: false,
+        earlier: 0,
+        idle_ms: 0.0,
     })
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -261,6 +261,7 @@
             event = "dispatch", request:% = self.admitted.head.id, target:% = dispatch.slot.target,
             scheduler:% = dispatch.slot.scheduler, waited_ms = (sent - requested_at) as u64,
             expected_ms = dispatch.slot.first_ms as u64, after:? = last_event,
+            arrivals = self.arrivals, may_repeat = self.may_repeat(),
             list_age_ms = self.gateway.replica.targets_age_ms() as u64;
             "dispatching to a target"
         );
@@ -353,7 +354,7 @@
 
     // Whether the request may go to another target while one is still processing it.
     fn may_fail_over(&self) -> bool {
-        self.admitted.route.retry != RetryPolicy::Never
+        self.may_repeat()
             && self.sends + 1 < self.admitted.route.attempts
             && self.left_ms() > MIN_DISPATCH_MS
     }
@@ -380,7 +381,7 @@
     }
 
     async fn send(&mut self, dispatch: &mut Dispatch, last_event: Option<u64>) -> Attempt {
-        let fresh_only = self.admitted.route.retry == RetryPolicy::Never;
+        let fresh_only = !self.may_repeat();
         let address = dispatch.slot.address;
         loop {
             let connection = self.gateway.connections.get(address, fresh_only).await;
@@ -405,7 +406,10 @@
             let sent = self.wait_or_fail_over(connection.send(req), limit, &target);
             match sent.await {
                 // The connection was closed while it was idle; another one is tried.
-                Some(SendResult::NotSent) if connection.reused => continue,
+                Some(SendResult::NotSent) if connection.is_reused() => {
+                    info!(event = "not_sent", request:% = self.admitted.head.id, target:% = dispatch.slot.target, idle_ms = connection.idle_ms as u64; "an idle connection had been closed; nothing was sent on it");
+                    continue;
+                }
                 Some(SendResult::NotSent) => return Attempt::Unreachable,
                 Some(SendResult::Response(response)) => {
                     let limit = limit.saturating_sub(elapsed(dispatch.sent));
@@ -414,7 +418,7 @@
                     return reading.await;
                 }
                 Some(SendResult::Broken(e)) => {
-                    info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.reused, error:% = e; "connection broke before a response");
+                    info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.is_reused(), error:% = e; "connection broke before a response");
                     return Attempt::Broken;
                 }
                 None => return Attempt::Unresponsive,
@@ -468,6 +472,9 @@
             info!(event = "distrusted", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reason, status = parts.status.as_u16(); "response rejected");
             return Attempt::Broken;
         }
+        if head.not_run || head.misdirected {
+            self.record_refusal(&head, &parts, &connection, dispatch);
+        }
         if !head.misdirected {
             self.record_limit(&head, dispatch);
             self.record_withheld(&head, dispatch);
@@ -516,7 +523,7 @@
                 Attempt::NotRun(refusal_outcome(&head).unwrap_or_default())
             }
             Some(Err(e)) => {
-                info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.reused, error:% = e; "cannot read the response");
+                info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.is_reused(), error:% = e; "cannot read the response");
                 match e {
                     CollectError::Connection(_) => Attempt::Broken,
                     CollectError::TooLarge(_) => Attempt::Malformed,
@@ -537,6 +544,32 @@
         }
     }
 
+    // Records a response that says that the request has not run, with what speaks for and against it.
+    fn record_refusal(
+        &self,
+        head: &TargetResponseHead,
+        parts: &response::Parts,
+        connection: &Connection,
+        dispatch: &Dispatch,
+    ) {
+        let has_id = head.id.is_some();
+        info!(
+            event = "refused_by_target", request:% = self.admitted.head.id,
+            target:% = dispatch.slot.target, status = parts.status.as_u16(), has_id,
+            receipt = head.receipt, earlier = connection.earlier,
+            idle_ms = connection.idle_ms as u64, ms = (clock::now() - dispatch.sent) as u64,
+            may_repeat = self.may_repeat();
+            "the target says that it has not run the request"
+        );
+        let proof = match (has_id, connection.is_reused()) {
+            (true, _) => "id",
+            (false, false) => "first-response",
+            (false, true) => "none",
+        };
+        let labels = [label("proof", proof)];
+        self.gateway.metrics.refused_by_targets.add(1, &labels);
+    }
+
     // Records the request limit that the target names in its response.
     fn record_limit(&self, head: &TargetResponseHead, dispatch: &mut Dispatch) {
         let (id, target) = (&self.admitted.head.id, dispatch.slot.target.clone());
@@ -695,9 +728,14 @@
         }
     }
 
+    // Whether the request may run more than once.
+    fn may_repeat(&self) -> bool {
+        self.admitted.route.retry != RetryPolicy::Never
+    }
+
     /// Whether a request that may have run may be sent again.
     pub fn may_resend(&self) -> bool {
-        self.admitted.route.retry != RetryPolicy::Never && self.sends < self.admitted.route.attempts
+        self.may_repeat() && self.sends < self.admitted.route.attempts
     }
 
     // Counts a complete response that is a server error; whether the request may be sent again.
