--- a/crates/core/tests/soak/cluster.rs
+++ b/crates/core/tests/soak/cluster.rs
@@ -4,9 +4,9 @@
 use rwd_lab::site::{FakeStore, FakeTarget, config_record, server_record};
 use serde_json::json;
 use std::collections::HashMap;
+use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::Stdio;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::process::{Child, Command};
@@ -24,6 +24,7 @@
     pub address: SocketAddr,
     pub store_relay: TcpRelay,
     settings: PathBuf,
+    log: PathBuf,
     child: Mutex<Option<Child>>,
 }
 
@@ -84,10 +85,13 @@
             );
             let file = std::env::temp_dir().join(name);
             std::fs::write(&file, settings.to_string()).unwrap();
+            let log = file.with_extension("log");
+            File::create(&log).unwrap();
             let node = Node {
                 address: SocketAddr::new(ip, 7801),
                 store_relay: relay,
                 settings: file,
+                log,
                 child: Mutex::new(None),
             };
             *node.child.lock().await = Some(node.spawn());
@@ -140,12 +144,20 @@
         Command::new(env!("CARGO_BIN_EXE_redwingdrift"))
             .args(["gateway", "--settings"])
             .arg(&self.settings)
-            .stdout(Stdio::null())
+            .stdout(File::options().append(true).open(&self.log).unwrap())
             .kill_on_drop(true)
             .spawn()
             .expect("the binary starts")
     }
 
+    /// The log lines of all its processes that name a request.
+    pub fn lines_of(&self, id: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).unwrap();
+        let id = format!("\"{id}\"");
+        let lines = log.lines().filter(|l| l.contains(&id));
+        lines.map(str::to_owned).collect()
+    }
+
     /// Sends a signal to the process, if it is running.
     pub async fn signal(&self, name: &str) {
         let child = self.child.lock().await;
@@ -179,7 +191,8 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        // A failure only leaves a file in the temporary directory.
+        // A failure only leaves files in the temporary directory.
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(&self.log);
     }
 }
--- a/crates/core/tests/soak/main.rs
+++ b/crates/core/tests/soak/main.rs
@@ -9,6 +9,7 @@
 
 mod cluster;
 mod records;
+mod refusals;
 
 use cluster::{Node, TestCluster};
 use rand::rngs::StdRng;
--- a/crates/core/tests/soak/records.rs
+++ b/crates/core/tests/soak/records.rs
@@ -104,7 +104,11 @@
         for r in records.iter() {
             let what = format!("seed {seed}, {:?} {}", r.kind, r.id);
             let runs = all_runs.get(&r.id).copied().unwrap_or(0);
-            assert!(r.kind.may_retry() || runs <= 1, "{what} ran {runs} times");
+            if runs > 1 && !r.kind.may_retry() {
+                let lines = cluster.nodes.iter().flat_map(|n| n.lines_of(&r.id));
+                let lines: Vec<_> = lines.collect();
+                panic!("{what} ran {runs} times\n{}", lines.join("\n"));
+            }
             let Some(result) = &r.result else {
                 continue;
             };
--- /dev/null
+++ b/crates/core/tests/soak/refusals.rs
@@ -0,0 +1,72 @@
+//! Requests that may run once, at real processes, while targets refuse untruly, late or ambiguously.
+
+use crate::cluster::TestCluster;
+use crate::records::{Kind, Records};
+use rwd_lab::site::Behaviour;
+use std::sync::Arc;
+use tokio::task::JoinSet;
+
+const CALLERS: usize = 4;
+const REQUESTS: usize = 40;
+const FULL: &str = "503 Service Unavailable\r\nNot-Run: 1\r\n";
+
+// Callers send requests that may run once, while targets answer them in turn as `plan` says.
+async fn run(plan: &[Behaviour]) {
+    let cluster = Arc::new(TestCluster::start(2).await);
+    let records = Arc::new(Records::default());
+    for node in 0..cluster.nodes.len() {
+        while !records.call(&cluster, node, Kind::Unsafe, "first").await {
+            tokio::task::yield_now().await;
+        }
+    }
+    for target in &cluster.targets {
+        target.script(&plan.repeat(CALLERS * REQUESTS));
+    }
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let (cluster, records) = (cluster.clone(), records.clone());
+        callers.spawn(async move {
+            for n in 0..REQUESTS {
+                let kind = [Kind::Unsafe, Kind::Once][n / 4 % 2];
+                let name = format!("c{caller}");
+                records.call(&cluster, caller % 2, kind, &name).await;
+            }
+        });
+    }
+    while let Some(done) = callers.join_next().await {
+        done.expect("a caller does not panic");
+    }
+    records.check(&cluster, 0);
+}
+
+/// Guards against a late copy of a refusal that makes a booking run twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_sent_again_make_no_request_run_twice() {
+    run(&[Behaviour::RefuseTwice(FULL), Behaviour::Respond]).await;
+}
+
+/// Guards against a refusal after a complete response that makes a booking run twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn refusals_after_complete_responses_make_no_request_run_twice() {
+    run(&[Behaviour::RespondThenRefuse(FULL)]).await;
+}
+
+/// Guards against a response with a receipt and `Not-Run` that makes a booking run twice.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn contradictory_responses_make_no_request_run_twice() {
+    let both = "200 OK\r\nRequest-Id: ID\r\nSeal: s\r\nNot-Run: 1\r\n";
+    run(&[Behaviour::Claim(both), Behaviour::Respond]).await;
+}
+
+/// Guards against connections that targets reset while requests are sent on them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn resets_of_kept_connections_make_no_request_run_twice() {
+    let plan = [
+        Behaviour::Respond,
+        Behaviour::RespondThenReset,
+        Behaviour::Reset,
+        Behaviour::Respond,
+        Behaviour::Lost,
+    ];
+    run(&plan).await;
+}
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -25,6 +25,19 @@
     /// Refuses with this status line and these headers, and sends the same bytes once more when the next
     /// request arrives on the connection, before it responds to that.
     RefuseTwice(&'static str),
+    /// Sends a complete response, and a refusal with this status line and these headers when the next
+    /// request arrives on the connection, before it responds to that.
+    RespondThenRefuse(&'static str),
+    /// Runs the request and responds with this status line and these headers, in which `ID` stands for
+    /// the id of the request.
+    Claim(&'static str),
+    /// Runs it and sends the head of a complete response without its last bytes, so many of them, then
+    /// closes the connection.
+    CutHead(usize),
+    /// Runs it and resets the connection without a response.
+    Reset,
+    /// Sends a complete response and resets the connection, which it has offered to keep.
+    RespondThenReset,
     /// Runs the request and responds with 500.
     Fail,
     /// Runs it and responds with the ID of another request.
@@ -328,8 +341,10 @@
         };
         headers.extend(limit.map(|limit| ("Server-Limit".to_owned(), limit)));
         let bytes = with_headers(bytes, &headers);
-        if let Behaviour::RefuseTwice(_) = behaviour {
-            late = bytes.clone();
+        match behaviour {
+            Behaviour::RefuseTwice(_) => late = bytes.clone(),
+            Behaviour::RespondThenRefuse(head) => late = refusal(head, &arrival).into_bytes(),
+            _ => (),
         }
         let middle = match behaviour {
             Behaviour::Pause => bytes.len() - bytes.len() / 4,
@@ -347,7 +362,8 @@
             tokio::time::sleep(PAUSE).await;
             tcp.write_all(&bytes[middle..]).await?;
         }
-        if behaviour == Behaviour::UnframedReset {
+        if let Behaviour::UnframedReset | Behaviour::Reset | Behaviour::RespondThenReset = behaviour
+        {
             SockRef::from(&tcp).set_linger(Some(Duration::ZERO))?;
             return Ok(());
         }
@@ -406,7 +422,17 @@
         return ([head.as_bytes(), body].concat(), false);
     }
     let (text, keep_alive) = match behaviour {
-        Behaviour::Respond | Behaviour::Pause => (complete(id, "Seal: s\r\n"), true),
+        Behaviour::Respond
+        | Behaviour::Pause
+        | Behaviour::RespondThenRefuse(_)
+        | Behaviour::RespondThenReset => (complete(id, "Seal: s\r\n"), true),
+        Behaviour::Claim(head) => (refusal(head, arrival), true),
+        Behaviour::CutHead(missing) => {
+            let mut response = complete(id, "Seal: s\r\n");
+            let head = response.find("\r\n\r\n").map_or(0, |at| at + 4);
+            response.truncate(head.saturating_sub(missing));
+            (response, false)
+        }
         Behaviour::NotRun => {
             let headers = "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
             (head("503 Service Unavailable", id, headers), true)
@@ -423,10 +449,7 @@
             format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n"),
             true,
         ),
-        Behaviour::RefuseTwice(head) => {
-            let head = head.replace("ID", id);
-            (format!("HTTP/1.1 {head}Content-Length: 0\r\n\r\n"), true)
-        }
+        Behaviour::RefuseTwice(head) => (refusal(head, arrival), true),
         Behaviour::Fail => {
             let failed = head("500 Internal Server Error", id, "Seal: s\r\n");
             (failed + &with_length("it failed"), true)
@@ -451,13 +474,21 @@
             head("200 OK", id, unframed) + &body[..body.len() - 5],
             false,
         ),
-        Behaviour::Unresponsive | Behaviour::Body(_) | Behaviour::Endless(..) => {
-            (String::new(), false)
-        }
+        Behaviour::Unresponsive
+        | Behaviour::Reset
+        | Behaviour::Body(_)
+        | Behaviour::Endless(..) => (String::new(), false),
     };
     (text.into_bytes(), keep_alive)
 }
 
+// A response without a body, with this status line and these headers.
+fn refusal(head: &str, arrival: &Arrival) -> String {
+    let id = arrival.header("request-id").unwrap_or_default();
+    let head = head.replace("ID", id);
+    format!("HTTP/1.1 {head}Content-Length: 0\r\n\r\n")
+}
+
 // Inserts headers after the status line.
 fn with_headers(bytes: Vec<u8>, headers: &[(String, String)]) -> Vec<u8> {
     let line_end = bytes.windows(2).position(|w| w == b"\r\n");
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod crashing_prompts;
+mod cut_heads;
 mod failed_resumes;
 mod helper;
 mod large_configuration;
@@ -14,4 +15,5 @@
 mod store;
 mod stray_bytes;
 mod target_limits;
+mod unsafe_requests;
 mod withheld_targets;
