Send requests that may run once on connections of their own

What callers saw: bookings ran at two targets (TWICE), or were answered 503 although they had run (REFUSED). Cause: a refusal without an id (Not-Run, or 421) is matched to the request by its position on the connection. On a kept connection it may be something else: a copy of an earlier refusal, or bytes after a complete response, which belong to no request. Closing connections after refusals without an id covers the first only.

A request that may run once is now sent only on a connection that has carried nothing yet, so the first response there can be no other's, and a connection that was dropped unnoticed while idle costs it nothing: it fails to connect, and nothing was sent. The connection is kept afterwards for requests that may be repeated. Weighed against: not believing such refusals on reused connections (each true one would become an unknown outcome).

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -26,9 +26,6 @@
 const DEFAULT_KEEP_ALIVE_MS: f64 = 4000.0;
 /// Fraction of the target's keep-alive timeout for which an idle connection is reused.
 const KEEP_ALIVE_SHARE: f64 = 0.5;
-/// Idle time after which a connection may be dead without notice, in milliseconds; requests that
-/// must not run twice are sent on a new one.
-const MAX_FRESH_IDLE_MS: f64 = 500.0;
 /// Largest read buffer of a connection, and so the largest head of a response, in bytes.
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to one target.
@@ -45,6 +42,16 @@
     Refused,
 }
 
+/// Which connections a request may be sent on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Reuse {
+    /// Any.
+    Allowed,
+    /// Only one that has carried nothing yet. The first response on it is the request's own, even
+    /// without an id, and the connection cannot have been closed unnoticed while it was idle.
+    Never,
+}
+
 /// The result of sending a request on a connection.
 pub(crate) enum SendResult {
     /// The head of the response.
@@ -100,38 +107,29 @@
         self.idle.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Returns an idle connection or opens one; `fresh_only` rules out those idle for long.
-    pub async fn get(
-        &self,
-        address: SocketAddr,
-        fresh_only: bool,
-    ) -> Result<Connection, ConnectError> {
-        match self.take(address, fresh_only) {
+    /// Returns an idle connection or opens one.
+    pub async fn get(&self, address: SocketAddr, reuse: Reuse) -> Result<Connection, ConnectError> {
+        let idle = match reuse {
+            Reuse::Allowed => self.take(address),
+            Reuse::Never => None,
+        };
+        match idle {
             Some(connection) => Ok(connection),
             None => open(address).await,
         }
     }
 
-    fn take(&self, address: SocketAddr, fresh_only: bool) -> Option<Connection> {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
         let now = clock::now();
         let mut all = self.lock();
         let idle = all.get_mut(&address)?;
         idle.retain(|i| i.until > now && !i.connection.tx.is_closed());
         // The most recently used connection is the least likely to be dead.
         let newest = idle.pop()?;
-        match fresh_only && now - newest.since > MAX_FRESH_IDLE_MS {
-            true => {
-                idle.push(newest);
-                None
-            }
-            false => {
-                let idle_ms = now - newest.since;
-                Some(Connection {
-                    idle_ms,
-                    ..newest.connection
-                })
-            }
-        }
+        Some(Connection {
+            idle_ms: now - newest.since,
+            ..newest.connection
+        })
     }
 
     /// Returns a connection to the pool after a complete response, unless the target closes it.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use crate::buffers::{OverBudget, Reservation};
-use crate::connection::{ConnectError, Connection, SendResult};
+use crate::connection::{ConnectError, Connection, Reuse, SendResult};
 use crate::events::{EventReader, Next, StreamError};
 use crate::gateway::{Admitted, Body, Gateway, InProgress};
 use crate::refusal::Refusal;
@@ -381,10 +381,13 @@
     }
 
     async fn send(&mut self, dispatch: &mut Dispatch, last_event: Option<u64>) -> Attempt {
-        let fresh_only = !self.may_repeat();
+        let reuse = match self.may_repeat() {
+            true => Reuse::Allowed,
+            false => Reuse::Never,
+        };
         let address = dispatch.slot.address;
         loop {
-            let connection = self.gateway.connections.get(address, fresh_only).await;
+            let connection = self.gateway.connections.get(address, reuse).await;
             let mut connection = match connection {
                 Ok(connection) => connection,
                 Err(e) => {
