Do not take contradictory responses for refusals

What callers saw: a booking ran at two targets, and its caller got 503 (TWICE, REFUSED). Cause: any response with Not-Run was taken for a refusal, whatever its status, also a 200 with a receipt; of several Request-Id values the first one counted.

Not-Run counts only with 503 or a 4xx, the statuses with which targets refuse; several ids match no request. A response that is rejected is no longer reported as a crash under the request's prompt, as its head arrived whole.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -67,7 +67,7 @@
 /// The parsed head of a target's response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct TargetResponseHead {
-    /// Id of the request that the response belongs to.
+    /// Id of the request that the response belongs to; several ids are separated by commas.
     pub id: Option<CompactString>,
     /// Whether the response carries the header with which a target confirms it.
     pub receipt: bool,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, From};
-use http::{Request, Response, Uri, request, response};
+use http::{Request, Response, StatusCode, Uri, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use log::info;
@@ -473,7 +473,7 @@
         let head = self.gateway.protocol.read_response(&parts);
         if let Some(reason) = self.reject_reason(&parts, &head) {
             info!(event = "distrusted", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reason, status = parts.status.as_u16(); "response rejected");
-            return Attempt::Broken;
+            return Attempt::Malformed;
         }
         if head.not_run || head.misdirected {
             self.record_refusal(&head, &parts, &connection, dispatch);
@@ -647,6 +647,9 @@
                 Some("other id")
             }
             TargetResponseHead { encoded: true, .. } => Some("encoded"),
+            TargetResponseHead { not_run: true, .. } if !may_refuse(parts.status) => {
+                Some("not run, with a status of requests that ran")
+            }
             _ if refuses => None,
             TargetResponseHead { id: None, .. } => Some("no id"),
             TargetResponseHead { receipt: false, .. } if parts.status.is_success() => {
@@ -791,6 +794,11 @@
     pub born: u64,
 }
 
+// Whether a target that has not run a request may respond with this status.
+fn may_refuse(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 // How a refusal that has not run the request ends the use of its slot; `None` for other responses.
 fn refusal_outcome(head: &TargetResponseHead) -> Option<SlotOutcome> {
     match head {
