Believe refusals without an id only as first responses of their connections

Now such a request may use a kept connection again (idle for less than 500 ms), and a refusal without an id that arrives there proves nothing: the outcome is unknown, and the request is not sent again. For 5 s after a refusal without an id, requests that may run once go to that target on new connections, where its refusals count. A refusal with the request's own id counts everywhere.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -26,6 +26,12 @@
 const DEFAULT_KEEP_ALIVE_MS: f64 = 4000.0;
 /// Fraction of the target's keep-alive timeout for which an idle connection is reused.
 const KEEP_ALIVE_SHARE: f64 = 0.5;
+/// Idle time after which a connection may be dead without notice, in milliseconds; requests that
+/// must not run twice are sent on a new one.
+const MAX_FRESH_IDLE_MS: f64 = 500.0;
+/// Time after a refusal without an id for which requests that must not run twice are sent to its target
+/// on new connections, in milliseconds. Targets refuse in series.
+const UNIDENTIFIED_REFUSAL_MS: f64 = 5000.0;
 /// Largest read buffer of a connection, and so the largest head of a response, in bytes.
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to one target.
@@ -47,9 +53,8 @@
 pub(crate) enum Reuse {
     /// Any.
     Allowed,
-    /// Only one that has carried nothing yet. The first response on it is the request's own, even
-    /// without an id, and the connection cannot have been closed unnoticed while it was idle.
-    Never,
+    /// Those that are not likely to be dead, and whose next response can be identified.
+    Sound,
 }
 
 /// The result of sending a request on a connection.
@@ -100,6 +105,8 @@
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle: Mutex<IndexMap<SocketAddr, Vec<Idle>>>,
+    // When targets last refused a request without naming its id.
+    unidentified: Mutex<IndexMap<SocketAddr, Timestamp>>,
 }
 
 impl ConnectionPool {
@@ -110,8 +117,9 @@
     /// Returns an idle connection or opens one.
     pub async fn get(&self, address: SocketAddr, reuse: Reuse) -> Result<Connection, ConnectError> {
         let idle = match reuse {
-            Reuse::Allowed => self.take(address),
-            Reuse::Never => None,
+            Reuse::Allowed => self.take(address, f64::INFINITY),
+            Reuse::Sound if self.refuses_without_id(address) => None,
+            Reuse::Sound => self.take(address, MAX_FRESH_IDLE_MS),
         };
         match idle {
             Some(connection) => Ok(connection),
@@ -119,15 +127,32 @@
         }
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
+    /// Records that a target refused a request without naming its id.
+    pub fn record_unidentified_refusal(&self, address: SocketAddr) {
+        let mut unidentified = self.unidentified.lock().unwrap_or_else(|e| e.into_inner());
+        unidentified.insert(address, clock::now());
+    }
+
+    fn refuses_without_id(&self, address: SocketAddr) -> bool {
+        let unidentified = self.unidentified.lock().unwrap_or_else(|e| e.into_inner());
+        let last = unidentified.get(&address);
+        last.is_some_and(|at| clock::now() - *at < UNIDENTIFIED_REFUSAL_MS)
+    }
+
+    fn take(&self, address: SocketAddr, max_idle_ms: f64) -> Option<Connection> {
         let now = clock::now();
         let mut all = self.lock();
         let idle = all.get_mut(&address)?;
         idle.retain(|i| i.until > now && !i.connection.tx.is_closed());
         // The most recently used connection is the least likely to be dead.
         let newest = idle.pop()?;
+        let idle_ms = now - newest.since;
+        if idle_ms > max_idle_ms {
+            idle.push(newest);
+            return None;
+        }
         Some(Connection {
-            idle_ms: now - newest.since,
+            idle_ms,
             ..newest.connection
         })
     }
@@ -160,6 +185,8 @@
             idle.retain(|i| i.until > now && !i.connection.tx.is_closed());
             !idle.is_empty()
         });
+        let mut unidentified = self.unidentified.lock().unwrap_or_else(|e| e.into_inner());
+        unidentified.retain(|_, at| now - *at < UNIDENTIFIED_REFUSAL_MS);
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -83,6 +83,8 @@
     Withheld(Withheld),
     /// The target has not run the request.
     NotRun(SlotOutcome),
+    /// A refusal that may not be the response to the request, which must not run twice and may have run.
+    Unproved(SlotOutcome),
     /// A complete response.
     Complete(response::Parts, Bytes),
     /// The head and first event of a stream.
@@ -383,7 +385,7 @@
     async fn send(&mut self, dispatch: &mut Dispatch, last_event: Option<u64>) -> Attempt {
         let reuse = match self.may_repeat() {
             true => Reuse::Allowed,
-            false => Reuse::Never,
+            false => Reuse::Sound,
         };
         let address = dispatch.slot.address;
         loop {
@@ -475,9 +477,14 @@
             info!(event = "distrusted", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reason, status = parts.status.as_u16(); "response rejected");
             return Attempt::Malformed;
         }
-        if head.not_run || head.misdirected {
+        let refusal = refusal_outcome(&head).map(|outcome| {
             self.record_refusal(&head, &parts, &connection, dispatch);
-        }
+            match self.may_repeat() || head.id.is_some() || !connection.is_reused() {
+                true => Attempt::NotRun(outcome),
+                // It may be a copy of an earlier refusal, or bytes that belong to no request.
+                false => Attempt::Unproved(outcome),
+            }
+        });
         if !head.misdirected {
             self.record_limit(&head, dispatch);
             self.record_withheld(&head, dispatch);
@@ -517,20 +524,14 @@
                 if head.id.is_some() {
                     self.gateway.connections.release(connection, &parts.headers);
                 }
-                match refusal_outcome(&head) {
-                    Some(outcome) => Attempt::NotRun(outcome),
-                    None => Attempt::Complete(parts, body),
-                }
-            }
-            Some(Err(_)) if head.not_run || head.misdirected => {
-                Attempt::NotRun(refusal_outcome(&head).unwrap_or_default())
+                refusal.unwrap_or(Attempt::Complete(parts, body))
             }
             Some(Err(e)) => {
                 info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.is_reused(), error:% = e; "cannot read the response");
-                match e {
+                refusal.unwrap_or(match e {
                     CollectError::Connection(_) => Attempt::Broken,
                     CollectError::TooLarge(_) => Attempt::Malformed,
-                }
+                })
             }
             None => Attempt::Unresponsive,
         }
@@ -556,6 +557,10 @@
         dispatch: &Dispatch,
     ) {
         let has_id = head.id.is_some();
+        if !has_id {
+            let connections = &self.gateway.connections;
+            connections.record_unidentified_refusal(dispatch.slot.address);
+        }
         info!(
             event = "refused_by_target", request:% = self.admitted.head.id,
             target:% = dispatch.slot.target, status = parts.status.as_u16(), has_id,
@@ -696,6 +701,11 @@
                 self.refusals += 1;
                 (*outcome, Refusal::NotRun, "not_run")
             }
+            Attempt::Unproved(outcome) => {
+                self.arrivals += 1;
+                self.sends += 1;
+                (*outcome, Refusal::Unknown, "unproved")
+            }
             Attempt::Unresponsive => {
                 self.arrivals += 1;
                 self.sends += 1;
