Pass on no 408, 429 or 503 of a target that may have run the request

What callers saw: 503 ('not run, try again') for a booking that had run, if its target answered so without saying Not-Run (REFUSED). Cause: statuses of targets reached callers as they were, although 408, 429 and 503 of the gateway are a promise that targets do not make with the status alone. Such a response is rejected now; the caller gets 502, or the next target's response where the request may be repeated.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -656,6 +656,7 @@
                 Some("not run, with a status of requests that ran")
             }
             _ if refuses => None,
+            _ if promises_not_run(parts.status) => Some("a refusal that does not say `not run`"),
             TargetResponseHead { id: None, .. } => Some("no id"),
             TargetResponseHead { receipt: false, .. } if parts.status.is_success() => {
                 Some("no receipt")
@@ -809,6 +810,16 @@
     status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
 }
 
+// Whether callers take this status for a promise that the request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 // How a refusal that has not run the request ends the use of its slot; `None` for other responses.
 fn refusal_outcome(head: &TargetResponseHead) -> Option<SlotOutcome> {
     match head {
