Answer all requests at the end of a planned stop

Cause: the stop was checked once, when the head of a request arrived; afterwards nothing related the time that a request may take to the time that the node has left. Class: an admission check that is not repeated before the irreversible step.

While the node closes, a request that no target has had goes to one only if its deadline is before the connections close; others get 503 and have not run. 0.2 s after connections are closed, requests without a response get one: 502 if a target may have run them, else 503. Requests accepted in time that are at work keep the rest of the grace, as before, and streams in progress may still be resumed.

--- a/crates/core/tests/soak/cluster.rs
+++ b/crates/core/tests/soak/cluster.rs
@@ -22,6 +22,7 @@
 /// A gateway process, which is restarted when a fault has ended it.
 pub struct Node {
     pub address: SocketAddr,
+    pub readiness: SocketAddr,
     pub store_relay: TcpRelay,
     settings: PathBuf,
     log: PathBuf,
@@ -39,6 +40,11 @@
 
 impl TestCluster {
     pub async fn start(nodes: u8) -> Self {
+        Self::start_with_grace(nodes, 8).await
+    }
+
+    /// Starts nodes to which the platform allows `grace_s` seconds for a planned stop.
+    pub async fn start_with_grace(nodes: u8, grace_s: u32) -> Self {
         let block = (
             (std::process::id() % 90) as u8 + 10,
             NEXT_ADDRESS_BLOCK.fetch_add(1, Ordering::Relaxed),
@@ -76,7 +82,7 @@
                     "directory": SocketAddr::new(ip, 7803), "peers": SocketAddr::new(ip, 7804),
                 },
                 "seeds": [seed], "store": relay.address(), "secret": "a secret of the soak",
-                "bounds": {"stop_grace_s": 8},
+                "bounds": {"stop_grace_s": grace_s},
             });
             let name = format!(
                 "redwingdrift-soak-{}-{}-{n}.json",
@@ -89,6 +95,7 @@
             File::create(&log).unwrap();
             let node = Node {
                 address: SocketAddr::new(ip, 7801),
+                readiness: SocketAddr::new(ip, 7802),
                 store_relay: relay,
                 settings: file,
                 log,
@@ -168,6 +175,15 @@
         }
     }
 
+    /// Stops the process as the platform does and waits for its exit.
+    pub async fn stop(&self) {
+        let mut child = self.child.lock().await.take().expect("it runs");
+        let pid = child.id().expect("it runs").to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status().await;
+        assert!(status.unwrap().success());
+        assert!(child.wait().await.unwrap().success());
+    }
+
     /// Ends the process with a signal and starts a new one `pause` after its exit.
     pub async fn restart_after(&self, signal: &str, pause: Duration) {
         let Some(mut child) = self.child.lock().await.take() else {
--- /dev/null
+++ b/crates/core/tests/soak/planned_stop.rs
@@ -0,0 +1,128 @@
+//! Requests that a planned stop of their node overtakes.
+
+use crate::cluster::{KEY, Node, TestCluster};
+use crate::records::{Kind, Records};
+use http::StatusCode;
+use rwd_lab::site::{Behaviour, Call, CallResult, call};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::{JoinSet, yield_now};
+
+/// Time that the platform allows for a planned stop, in seconds; shorter than the timeout of a long request.
+const GRACE_S: u32 = 3;
+/// Slots of the service.
+const SLOTS: usize = 8;
+
+async fn start() -> Arc<TestCluster> {
+    let cluster = Arc::new(TestCluster::start_with_grace(1, GRACE_S).await);
+    let records = Records::default();
+    while !records.call(&cluster, 0, Kind::Unsafe, "first").await {
+        yield_now().await;
+    }
+    cluster
+}
+
+fn long(id: &str) -> Call {
+    let mut req = Call::new("POST", "/long/a", id, KEY);
+    req.headers.retain(|(name, _)| *name != "deadline-ms");
+    req.header("deadline-ms", "45000")
+}
+
+async fn send(addr: SocketAddr, id: String) -> (String, CallResult) {
+    let result = call(addr, &long(&id)).await;
+    (id, result.unwrap())
+}
+
+// Requests that the node has accepted.
+async fn accepted(node: &Node) -> u64 {
+    let metrics = call(node.readiness, &Call::new("GET", "/metrics", "m", KEY)).await;
+    let text = String::from_utf8_lossy(&metrics.unwrap().body).into_owned();
+    let mut lines = text.lines();
+    let line = lines.find(|l| l.starts_with("requests_accepted"));
+    let count = line.and_then(|l| l.rsplit(' ').next()?.parse::<f64>().ok());
+    count.unwrap_or(0.0) as u64
+}
+
+// Waits until the node refuses new requests, which it does before it looks at their routes.
+async fn await_refusal(node: &Node) {
+    let probe = Call::new("GET", "/nowhere/a", "probe", KEY);
+    while let Ok(CallResult {
+        status: Some(StatusCode::NOT_FOUND),
+        ..
+    }) = call(node.address, &probe).await
+    {
+        yield_now().await;
+    }
+}
+
+// Every request has an answer, and what the answer promises is true.
+fn check(cluster: &TestCluster, id: &str, status: Option<u16>) {
+    let runs = cluster.runs().get(id).copied().unwrap_or(0);
+    assert!(status.is_some(), "{id} ran {runs} times and got no answer");
+    assert!(
+        runs == 0 || status != Some(503),
+        "{id} ran and got {status:?}"
+    );
+    assert!(runs <= 1, "{id} ran {runs} times");
+}
+
+/// Guards against requests in progress that are cut without an answer at the end of a planned stop, and
+/// against requests that are sent to targets so late that they will be.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_answers_requests_in_progress_and_in_the_queue() {
+    let cluster = start().await;
+    let node = &cluster.nodes[0];
+    for target in &cluster.targets {
+        target.script(&[Behaviour::Unresponsive; 4 * SLOTS]);
+    }
+    let before = accepted(node).await;
+    let mut callers = JoinSet::new();
+    for n in 0..2 * SLOTS {
+        callers.spawn(send(node.address, format!("long-{n}")));
+    }
+    while accepted(node).await < before + 2 * SLOTS as u64 {
+        yield_now().await;
+    }
+    node.stop().await;
+    while let Some(done) = callers.join_next().await {
+        let (id, result) = done.unwrap();
+        check(&cluster, &id, result.status.map(|s| s.as_u16()));
+    }
+}
+
+/// Guards against a request whose body ends late in a planned stop, and which is sent to a target and cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_body_ends_late_in_a_planned_stop_reaches_no_target() {
+    let cluster = start().await;
+    let node = &cluster.nodes[0];
+    for target in &cluster.targets {
+        target.script(&[Behaviour::Unresponsive; 4 * SLOTS]);
+    }
+    let before = accepted(node).await;
+    let head = format!(
+        "POST /long/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: slow\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: 4\r\n\r\nab"
+    );
+    let mut tcp = TcpStream::connect(node.address).await.unwrap();
+    tcp.write_all(head.as_bytes()).await.unwrap();
+    while accepted(node).await <= before {
+        yield_now().await;
+    }
+    let stopped = {
+        let cluster = cluster.clone();
+        tokio::spawn(async move { cluster.nodes[0].stop().await })
+    };
+    await_refusal(node).await;
+    tcp.write_all(b"cd").await.unwrap();
+    let mut response = String::new();
+    // The process may reset the connection at its exit.
+    let _ = tcp.read_to_string(&mut response).await;
+    stopped.await.unwrap();
+    let status = response.split(' ').nth(1).and_then(|s| s.parse().ok());
+    check(&cluster, "slow", status);
+    let arrivals = cluster.targets.iter().flat_map(|t| t.arrivals());
+    let reached = arrivals.filter(|a| a.header("request-id") == Some("slow"));
+    assert_eq!(reached.count(), 0);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,9 +13,10 @@
 use rwd_peer::Directory;
 use rwd_placement::{Rank, Timestamp};
 use rwd_types::{InstanceName, PoolName, ZoneName};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::sync::watch;
 
 use crate::buffers::BufferBudget;
 use crate::connection::ConnectionPool;
@@ -25,6 +26,7 @@
 use crate::refusal::Refusal;
 use crate::run::ActiveRequest;
 use crate::slots::Slots;
+use crate::stop::Admission;
 use crate::{
     Catalog, Protocol, RequestHead, Route, StoreReplica, WithheldTargets, Workspace, clock,
 };
@@ -77,8 +79,7 @@
     pub max_time_left_ms: Mutex<IndexMap<CompactString, f64>>,
     pub metrics: Arc<Metrics>,
     pub in_progress: AtomicUsize,
-    /// Whether the node refuses new requests, late in a graceful shutdown.
-    pub is_closed: AtomicBool,
+    pub admission: watch::Sender<Admission>,
 }
 
 /// Counts a request as in progress until dropped.
@@ -116,7 +117,7 @@
         self.metrics.accepted.add(1, &[]);
         let arrived = clock::now();
         let (parts, body) = req.into_parts();
-        if self.is_closed.load(Ordering::Relaxed) {
+        if *self.admission.borrow() != Admission::Open {
             return self.refuse("", Refusal::Leaving);
         }
         let admitted = match self.admit(&parts, arrived).await {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,7 +19,7 @@
 use rwd_wire::{Liveness, MemberUpdate, Message, StoreCursor};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -38,7 +38,7 @@
 use crate::server::{StopPhase, accept, plain_response};
 use crate::shards::{Shards, partition};
 use crate::slots::Slots;
-use crate::stop::ShutdownPlan;
+use crate::stop::{Admission, ShutdownPlan};
 use crate::store_sync::Follower;
 use crate::{
     Bounds, GatewaySettings, Limits, Lookup, Protocol, Store, StoreError, StoreReplica,
@@ -104,7 +104,7 @@
     replica: Arc<StoreReplica>,
     stop: watch::Sender<StopPhase>,
     in_progress: Arc<dyn Fn() -> usize + Send + Sync>,
-    refuse_requests: Arc<dyn Fn() + Send + Sync>,
+    set_admission: Arc<dyn Fn(Admission) + Send + Sync>,
     // Removes this node's entry from the store's list.
     unlist: Arc<dyn Fn() -> BoxFuture<'static, Result<(), StoreError>> + Send + Sync>,
     reload: Arc<Notify>,
@@ -183,7 +183,7 @@
             max_time_left_ms: Mutex::new(IndexMap::new()),
             metrics: metrics.clone(),
             in_progress: AtomicUsize::new(0),
-            is_closed: AtomicBool::new(false),
+            admission: watch::Sender::new(Admission::Open),
         });
         let stop = watch::Sender::new(StopPhase::Running);
         let http_service = Arc::new(HttpService {
@@ -309,7 +309,9 @@
             reload.clone(),
         ));
         let g = gateway.clone();
-        let refuse_requests = Arc::new(move || g.is_closed.store(true, Ordering::Relaxed));
+        let set_admission = Arc::new(move |a| {
+            g.admission.send_replace(a);
+        });
         let in_progress = Arc::new(move || gateway.in_progress.load(Ordering::Relaxed));
         Ok(Self {
             cfg,
@@ -318,7 +320,7 @@
             replica,
             stop,
             in_progress,
-            refuse_requests,
+            set_admission,
             unlist,
             reload,
             _tasks: tasks,
@@ -366,9 +368,10 @@
             // The entry stays until the address is reused; probes detect that nothing runs there.
             warn!(event = "announce", error:% = e; "cannot remove this node from the list of nodes");
         }
+        let close = clock::now() + plan.close.as_secs_f64() * 1000.0;
         loop {
             if started.elapsed() >= plan.refuse_from {
-                (self.refuse_requests)();
+                (self.set_admission)(Admission::Closing { close });
             }
             let idle = (self.in_progress)() == 0;
             if started.elapsed() >= plan.close || (idle && started.elapsed() >= plan.linger) {
@@ -380,6 +383,9 @@
         self.stop.send_replace(StopPhase::Closing);
         let end = started + plan.end;
         while (self.in_progress)() > 0 && Instant::now() < end {
+            if started.elapsed() >= plan.give_up {
+                (self.set_admission)(Admission::Over);
+            }
             sleep(plan.poll / 4).await;
         }
         // Gives connections time to flush the responses that have just ended.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::refusal::Refusal;
 use crate::relay::{Relay, StartedStream};
 use crate::slots::Slot;
+use crate::stop::Admission;
 use crate::{Protocol, RetryPolicy, TargetRequestHead, TargetResponseHead, Withheld, clock};
 
 /// Minimum time left for which a request is still dispatched, in milliseconds.
@@ -56,6 +57,8 @@
     exclude: Vec<TargetName>,
     // A slot for failover from an unresponsive target, already charged to the retry budget.
     failover_slot: Option<Slot>,
+    // Whether a target has the request, or may have it.
+    in_flight: bool,
     // Dispatches after which the request may have run.
     sends: u32,
     // Dispatches that reached a target, whatever its response.
@@ -97,6 +100,16 @@
     Unresponsive,
 }
 
+/// How the dispatches of a request end.
+enum Outcome {
+    /// A complete response.
+    Complete(response::Parts, Bytes),
+    /// A stream that has started at a target.
+    Started(Slot, Box<StartedStream>),
+    /// No response of a target.
+    Refused(Refusal),
+}
+
 impl<P: Protocol> ActiveRequest<P> {
     pub fn new(
         gateway: Arc<Gateway<P>>,
@@ -112,6 +125,7 @@
             body,
             exclude: Vec::new(),
             failover_slot: None,
+            in_flight: false,
             sends: 0,
             arrivals: 0,
             refusals: 0,
@@ -129,6 +143,24 @@
 
     /// Dispatches the request until it gets a response, or refuses it.
     pub async fn execute(mut self) -> Response<Body> {
+        let gateway = self.gateway.clone();
+        let mut admission = gateway.admission.subscribe();
+        let outcome = tokio::select! {
+            outcome = self.dispatch() => outcome,
+            // The sender lives as long as the gateway.
+            _ = admission.wait_for(|a| *a == Admission::Over) => {
+                self.sends += u32::from(self.in_flight);
+                Outcome::Refused(Refusal::Leaving)
+            }
+        };
+        match outcome {
+            Outcome::Complete(parts, body) => self.complete(parts, body),
+            Outcome::Started(slot, started) => Relay::start(self, slot, *started),
+            Outcome::Refused(refusal) => self.refuse(refusal),
+        }
+    }
+
+    async fn dispatch(&mut self) -> Outcome {
         let mut last_failure = None;
         let refusal = loop {
             let (dispatch, attempt) = match self.next_attempt(self.admitted.head.last_event).await {
@@ -150,9 +182,9 @@
                         last_failure = Some((parts, body));
                         continue;
                     }
-                    return self.complete(parts, body);
+                    return Outcome::Complete(parts, body);
                 }
-                Attempt::Started(started) => return Relay::start(self, dispatch.slot, *started),
+                Attempt::Started(started) => return Outcome::Started(dispatch.slot, started),
                 other => {
                     let refusal = self.record_failure(dispatch, &other);
                     if !self.may_redispatch(&other) {
@@ -163,8 +195,8 @@
         };
         match last_failure {
             // The target's own error says more than the lack of another response.
-            Some((parts, body)) => self.complete(parts, body),
-            None => self.refuse(refusal),
+            Some((parts, body)) => Outcome::Complete(parts, body),
+            None => Outcome::Refused(refusal),
         }
     }
 
@@ -305,7 +337,12 @@
     async fn acquire_slot(&self, left_ms: f64) -> Result<Slot, Refusal> {
         let slot = self.gateway.slots.acquire(self.offer());
         let limit = Duration::from_secs_f64(left_ms / 1000.0);
-        match timeout(limit, slot).await {
+        let acquired = tokio::select! {
+            biased;
+            () = self.too_late() => return Err(Refusal::Leaving),
+            acquired = timeout(limit, slot) => acquired,
+        };
+        match acquired {
             Ok(Ok(slot)) => Ok(slot),
             Ok(Err(declined)) => {
                 info!(event = "declined", request:% = self.admitted.head.id, no_target = declined.no_target; "no slot granted");
@@ -320,6 +357,17 @@
         }
     }
 
+    // Returns once a planned stop leaves too little time for a request that no target has had.
+    async fn too_late(&self) {
+        if self.sends > 0 {
+            return std::future::pending().await;
+        }
+        let mut admission = self.gateway.admission.subscribe();
+        let deadline = self.admitted.deadline;
+        // The sender lives as long as the gateway.
+        let _ = admission.wait_for(|a| a.is_too_late(deadline)).await;
+    }
+
     /// Waits for a target; once it is unresponsive for `limit`, tries to get a slot elsewhere too.
     ///
     /// None if the request is to fail over to that slot, or if its time is over. An unresponsive
@@ -406,6 +454,7 @@
             }
             let req = self.target_request(&dispatch.slot, left_ms, last_event);
             dispatch.sent = clock::now();
+            self.in_flight = true;
             let limit = self.first_byte_timeout(&dispatch.slot, left_ms);
             let target = dispatch.slot.target.clone();
             let sent = self.wait_or_fail_over(connection.send(req), limit, &target);
@@ -675,6 +724,7 @@
         if !returns {
             self.exclude.push(dispatch.slot.target.clone());
         }
+        self.in_flight = false;
         let ms = clock::now() - dispatch.sent;
         let (outcome, refusal, what) = match attempt {
             Attempt::Unreachable => {
@@ -757,6 +807,7 @@
 
     // Counts a complete response that is a server error; whether the request may be sent again.
     fn may_retry_error(&mut self) -> bool {
+        self.in_flight = false;
         self.arrivals += 1;
         self.sends += 1;
         self.may_resend()
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,5 +1,6 @@
-//! Timeline of a graceful shutdown.
+//! Timeline of a graceful shutdown, and what it means for requests.
 
+use rwd_placement::Timestamp;
 use std::time::Duration;
 
 /// How long after the signal requests are still accepted from callers with a cached address. What
@@ -22,6 +23,8 @@
     pub linger: Duration,
     /// When connections are closed even if requests are in progress.
     pub close: Duration,
+    /// When requests that have no response yet get one from the node.
+    pub give_up: Duration,
     /// When the process exits.
     pub end: Duration,
 }
@@ -37,7 +40,31 @@
             refuse_from: LATE_REQUEST_WINDOW.min(close / 2).saturating_sub(3 * poll),
             linger: LINGER.min(close),
             close,
+            give_up: close + CLOSE_MARGIN / 4,
             end: close + CLOSE_MARGIN / 2,
         }
     }
 }
+
+/// Which requests a node still serves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Admission {
+    /// All.
+    Open,
+    /// Those that targets have, and those accepted before whose deadlines are not after `close`: no
+    /// other one is sure to get its response.
+    Closing { close: Timestamp },
+    /// None; those without a response get one from the node.
+    Over,
+}
+
+impl Admission {
+    /// Whether a request with this deadline must not be sent to a target any more.
+    pub fn is_too_late(self, deadline: Timestamp) -> bool {
+        match self {
+            Self::Open => false,
+            Self::Closing { close } => deadline > close,
+            Self::Over => true,
+        }
+    }
+}
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -15,10 +15,14 @@
 pub use crate::site::store::{FakeStore, PAGE_RECORDS, StoreCopy, StoreFault};
 pub use crate::site::target::{Arrival, Behaviour, FakeTarget, STREAM_EVENTS};
 
+/// Timeout of the route for long requests in [`config_record`], in milliseconds.
+const LONG_TIMEOUT_MS: u64 = 45_000;
+
 /// A configuration record for tests.
 ///
-/// It has a service with a safe and an unsafe route, a model service with a stream
-/// that can be resumed on another target and one that cannot, and one workspace.
+/// It has a service with a safe and two unsafe routes, one of which allows for more time than a
+/// planned stop takes, a model service with a stream that can be resumed on another target and one that
+/// cannot, and one workspace.
 pub fn config_record(version: u64, keys: &[&str], per_s: u64) -> String {
     large_config_record(version, keys, per_s, 0)
 }
@@ -30,7 +34,9 @@
         route("r-unsafe", "/unsafe/", "unsafe", "desk", 1, false),
         route("r-resume", "/resume/", "stream", "model", 2, true),
         route("r-once", "/once/", "stream", "model", 1, false),
+        route("r-long", "/long/", "unsafe", "desk", 1, false),
     ];
+    routes[4]["timeout_ms"] = LONG_TIMEOUT_MS.into();
     routes.extend((0..count).map(|n| {
         let id = xxhash_rust::xxh3::xxh3_64(&n.to_be_bytes());
         let (name, prefix) = (format!("r-{id:x}"), format!("/{id:x}/"));
