Ask on until a node replies which version the others have

What callers would see: a node that starts while the store has come back from an older copy accepts a key that was removed. Cause: it asked three random nodes of the list, which still names nodes that are gone; if all three were, it activated the older version of the store. Now it asks three at a time until one replies, for 1.5 s at most. A reply without a version ends it as before, so a start of all nodes takes no longer.

--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -10,7 +10,7 @@
 //! reach the store pulls from other nodes.
 
 use log::{debug, info, warn};
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_cpu};
 use rwd_placement::Timestamp;
 use rwd_types::{InstanceName, ZoneName};
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::catalog_sync::CatalogTransfer;
 use crate::{Record, Store, StoreReplica, clock};
@@ -49,6 +49,8 @@
 const FALLBACK_READ_MS: f64 = 3000.0;
 /// How long a starting node waits for the list of nodes.
 const MAX_LIST_WAIT: Duration = Duration::from_secs(1);
+/// How long a starting node goes on to ask others for the version that they have while none replies.
+const MAX_LEARN_TIME: Duration = Duration::from_millis(1500);
 /// Time between two checks of a reading node's role.
 const ROLE_CHECK_PERIOD: Duration = Duration::from_millis(300);
 /// Minimum nodes of a zone that form a group with a reader of its own.
@@ -198,14 +200,27 @@
     }
 
     // Asks other nodes for the version that they have: that of a store that has just come back from
-    // an older copy may be older.
+    // an older copy may be older. The list may name many nodes that are gone.
     async fn learn_version(&self) {
-        let view = self.directory.view();
-        let others = view.active().filter(|m| m.name != self.own);
-        let asked = others.sample(&mut rand::rng(), MAX_READERS);
+        let mut others: Vec<_> = {
+            let view = self.directory.view();
+            let active = view.active().filter(|m| m.name != self.own);
+            active.map(|m| m.name.clone()).collect()
+        };
+        others.shuffle(&mut rand::rng());
+        let started = Instant::now();
+        for asked in others.chunks(MAX_READERS) {
+            if started.elapsed() > MAX_LEARN_TIME || self.ask_version(asked).await {
+                return;
+            }
+        }
+    }
+
+    // Asks these nodes for their version; whether any of them replied.
+    async fn ask_version(&self, nodes: &[InstanceName]) -> bool {
         let mut replies = JoinSet::new();
-        for member in asked {
-            let (name, links) = (member.name.clone(), self.links.clone());
+        for name in nodes.iter().cloned() {
+            let links = self.links.clone();
             replies.spawn(async move {
                 let request = Message::AskNews(StoreCursor::default());
                 let reply = links.ask(&name, &request, LONG_POLL_WAIT + REPLY_MARGIN);
@@ -213,19 +228,21 @@
                 (name, reply)
             });
         }
+        let mut replied = false;
         while let Some(reply) = replies.join_next().await {
             match reply {
                 Ok((name, Ok(Message::News(update)))) if update.catalog.is_some() => {
                     self.observe(&name, &update, None);
-                    return;
+                    return true;
                 }
-                Ok((_, Ok(_))) => (),
+                Ok((_, Ok(_))) => replied = true,
                 Ok((name, Err(e))) => {
                     debug!(peer:% = name, error:% = e; "cannot ask for the version of the configuration");
                 }
                 Err(e) => warn!(error:% = e; "asking for the version of the configuration failed"),
             }
         }
+        replied
     }
 
     // Applies what an update says about the store's era and the version of the configuration.
