Play targets that leave or hold off, and untrue refusals, in the soak

Targets refuse with Retry-After, or say Server-Leaving while they stay listed as ready until they are started again; they refuse late, twice or with a contradiction, cut heads and reset kept connections. The soak checks both rules as written: two requests at most from half a second after a refusal to the end of its time, none sent 2 s after a node has passed on that a target leaves; signals to the node excuse it.

--- a/crates/core/tests/soak/cluster.rs
+++ b/crates/core/tests/soak/cluster.rs
@@ -8,7 +8,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::process::{Child, Command};
 use tokio::sync::Mutex;
 use tokio::time::sleep;
@@ -27,6 +27,8 @@
     settings: PathBuf,
     log: PathBuf,
     child: Mutex<Option<Child>>,
+    // When signals were sent to its processes, or processes were started.
+    signals: std::sync::Mutex<Vec<Instant>>,
 }
 
 pub struct TestCluster {
@@ -35,6 +37,8 @@
     pub relays: Vec<TcpRelay>,
     pub nodes: Vec<Node>,
     sequence: AtomicU64,
+    // Start time of each target's process, as it is listed.
+    born: Vec<AtomicU64>,
     version: AtomicU64,
 }
 
@@ -57,6 +61,7 @@
             relays: Vec::new(),
             nodes: Vec::new(),
             sequence: AtomicU64::new(1),
+            born: Vec::new(),
             version: AtomicU64::new(0),
         };
         for n in 0..DESK_TARGETS + MODEL_TARGETS {
@@ -66,6 +71,7 @@
             let relay = TcpRelay::start(target.address(), Duration::ZERO).await;
             cluster.relays.push(relay.unwrap());
             cluster.targets.push(target);
+            cluster.born.push(AtomicU64::new(1));
             cluster.list_target(n, "ready");
         }
         cluster.change_config();
@@ -100,6 +106,7 @@
                 settings: file,
                 log,
                 child: Mutex::new(None),
+                signals: Default::default(),
             };
             *node.child.lock().await = Some(node.spawn());
             cluster.nodes.push(node);
@@ -115,10 +122,19 @@
         let service = if Self::is_desk(n) { "desk" } else { "model" };
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let record = server_record(service, self.relays[n].address(), state, sequence);
+        let mut record: serde_json::Value = serde_json::from_str(&record).unwrap();
+        record["born"] = self.born[n].load(Ordering::Relaxed).into();
+        let record = record.to_string();
         self.store
             .put("keyed.servers", self.targets[n].name(), Some(&record));
     }
 
+    /// Lists a target as one that has been started again.
+    pub fn list_restarted(&self, n: usize) {
+        self.born[n].fetch_add(1, Ordering::Relaxed);
+        self.list_target(n, "ready");
+    }
+
     pub fn change_config(&self) {
         let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
         let record = config_record(version, &[KEY], 1_000_000);
@@ -147,7 +163,19 @@
 }
 
 impl Node {
+    fn record_signal(&self) {
+        let mut signals = self.signals.lock().unwrap_or_else(|e| e.into_inner());
+        signals.push(Instant::now());
+    }
+
+    /// Whether its process was started, or got a signal, between two points in time.
+    pub fn was_disturbed(&self, from: Instant, to: Instant) -> bool {
+        let signals = self.signals.lock().unwrap_or_else(|e| e.into_inner());
+        signals.iter().any(|at| from <= *at && *at <= to)
+    }
+
     fn spawn(&self) -> Child {
+        self.record_signal();
         Command::new(env!("CARGO_BIN_EXE_redwingdrift"))
             .args(["gateway", "--settings"])
             .arg(&self.settings)
@@ -167,6 +195,7 @@
 
     /// Sends a signal to the process, if it is running.
     pub async fn signal(&self, name: &str) {
+        self.record_signal();
         let child = self.child.lock().await;
         if let Some(pid) = child.as_ref().and_then(Child::id) {
             let status = Command::new("kill").args([name, &pid.to_string()]).status();
@@ -190,6 +219,7 @@
             // Another fault is already restarting it.
             return;
         };
+        self.record_signal();
         if let Some(pid) = child.id() {
             for signal in [signal, "-CONT"] {
                 let status = Command::new("kill")
--- a/crates/core/tests/soak/main.rs
+++ b/crates/core/tests/soak/main.rs
@@ -28,6 +28,8 @@
 const MAX_GAP_MS: u64 = 500;
 /// Maximum duration of a fault, in milliseconds.
 const MAX_FAULT_MS: u64 = 2500;
+/// Minimum time for which a leaving target goes on; longer than requests may still be sent to it.
+const LEAVING_TIME: Duration = Duration::from_millis(2500);
 /// Time within which all nodes must serve again after the last fault.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Seeds of past failures, each with its cause.
@@ -97,7 +99,7 @@
     let length = Duration::from_millis(rng.random_range(100..MAX_FAULT_MS));
     let node: &Node = &cluster.nodes[rng.random_range(0..cluster.nodes.len())];
     let target = rng.random_range(0..cluster.targets.len());
-    match rng.random_range(0..13) {
+    match rng.random_range(0..15) {
         0 => node.restart_after("-KILL", length).await,
         1 => node.restart_after("-TERM", Duration::ZERO).await,
         2 => {
@@ -135,6 +137,16 @@
         }
         10 => cluster.change_config(),
         11 => cluster.compact(),
+        12 => cluster.targets[target].script(&[Behaviour::Refuse(records::HELD)]),
+        13 => {
+            // It is listed as ready all the while.
+            let name = format!("{target}-{}", rng.next_u64());
+            let leaving = [("Server-Leaving", "1"), ("X-Incarnation", name.as_str())];
+            cluster.targets[target].add_headers(&leaving);
+            sleep(length + LEAVING_TIME).await;
+            cluster.targets[target].add_headers(&[]);
+            cluster.list_restarted(target);
+        }
         _ => {
             let faults = [
                 Behaviour::NotRun,
@@ -148,6 +160,12 @@
                 Behaviour::Extra,
                 Behaviour::Unframed,
                 Behaviour::Unresponsive,
+                Behaviour::Reset,
+                Behaviour::RespondThenReset,
+                Behaviour::CutHead(10),
+                Behaviour::RefuseTwice(refusals::FULL),
+                Behaviour::RespondThenRefuse(refusals::FULL),
+                Behaviour::Claim(refusals::CONTRADICTION),
             ];
             let plan = [faults[rng.random_range(0..faults.len())]; 4];
             cluster.targets[target].script(&plan);
--- a/crates/core/tests/soak/records.rs
+++ b/crates/core/tests/soak/records.rs
@@ -3,7 +3,8 @@
 use crate::cluster::{KEY, TestCluster};
 use rand::RngExt;
 use rand::rngs::StdRng;
-use rwd_lab::site::{Call, CallResult, STREAM_EVENTS, call};
+use rwd_lab::site::{Arrival, Call, CallResult, STREAM_EVENTS, call};
+use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -12,6 +13,14 @@
 /// Time after which a caller gives up; longer than the timeout of any route.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// A refusal with which a target holds a node off for `HOLD`.
+pub const HELD: &str = "503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: 1.5";
+const HOLD: Duration = Duration::from_millis(1500);
+/// Time within which requests on their way may still arrive.
+const HOLD_SLACK: Duration = Duration::from_millis(500);
+/// Time after a target's leaving is known for which requests may still go there.
+const DRAIN: Duration = Duration::from_millis(2000);
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
     Safe,
@@ -50,6 +59,9 @@
 struct Record {
     id: String,
     kind: Kind,
+    node: usize,
+    sent: std::time::Instant,
+    ended: std::time::Instant,
     /// `None` if the caller could not connect or gave up.
     result: Option<CallResult>,
 }
@@ -83,6 +95,7 @@
     pub async fn call(&self, cluster: &TestCluster, node: usize, kind: Kind, caller: &str) -> bool {
         let id = format!("{caller}-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
         let request = kind.request(&id);
+        let sent = std::time::Instant::now();
         let result = timeout(
             RESPONSE_TIMEOUT,
             call(cluster.nodes[node].address, &request),
@@ -93,7 +106,14 @@
             .as_ref()
             .is_some_and(|r| r.complete && r.status.is_some_and(|s| s.is_success()));
         let mut records = self.records.lock().unwrap_or_else(|e| e.into_inner());
-        records.push(Record { id, kind, result });
+        records.push(Record {
+            id,
+            kind,
+            node,
+            sent,
+            ended: std::time::Instant::now(),
+            result,
+        });
         served
     }
 
@@ -124,6 +144,8 @@
                 other => panic!("{what}: status {other:?} for a proper request: {body}"),
             }
         }
+        check_holds(cluster, &records, seed);
+        check_leaving(cluster, &records, seed);
         for target in 0..cluster.targets.len() {
             for arrival in cluster.targets[target].arrivals() {
                 let for_desk =
@@ -152,3 +174,50 @@
         )
     }
 }
+
+// No more than two requests reach a target from a node that it holds off, from half a second after its
+// refusal to the end of the time that it named. Signals to the node excuse it.
+fn check_holds(cluster: &TestCluster, records: &[Record], seed: u64) {
+    let nodes: HashMap<_, _> = records.iter().map(|r| (r.id.as_str(), r.node)).collect();
+    let node = |a: &Arrival| nodes.get(a.header("request-id")?).copied();
+    for target in &cluster.targets {
+        let arrivals = target.arrivals();
+        for refused in &arrivals {
+            let (Some(HELD), Some(n)) = (refused.refusal, node(refused)) else {
+                continue;
+            };
+            let (from, to) = (refused.at + HOLD_SLACK, refused.at + HOLD);
+            let during = |a: &&Arrival| from < a.at && a.at < to && node(a) == Some(n);
+            let late = arrivals.iter().filter(during).count();
+            assert!(
+                late <= 2 || cluster.nodes[n].was_disturbed(refused.at, to),
+                "seed {seed}: {late} requests of node {n} reach {}, which holds it off",
+                target.name()
+            );
+        }
+    }
+}
+
+// No request that was sent to a node later than `DRAIN` after it passed on that a target leaves reaches
+// that target, until it has been started again. Signals to the node excuse it.
+fn check_leaving(cluster: &TestCluster, records: &[Record], seed: u64) {
+    let sent: HashMap<_, _> = records.iter().map(|r| (r.id.as_str(), r)).collect();
+    for told in records {
+        let result = told.result.as_ref();
+        let named = result.and_then(|r| r.headers.get("x-incarnation")?.to_str().ok());
+        let Some(incarnation) = named else {
+            continue;
+        };
+        let arrivals = cluster.targets.iter().flat_map(|t| t.arrivals());
+        for arrival in arrivals.filter(|a| a.incarnation.as_deref() == Some(incarnation)) {
+            let id = arrival.header("request-id").unwrap_or_default();
+            let Some(late) = sent.get(id) else { continue };
+            let in_time = late.node != told.node || late.sent < told.ended + DRAIN;
+            assert!(
+                in_time || cluster.nodes[told.node].was_disturbed(told.sent, arrival.at),
+                "seed {seed}: {id} reaches {incarnation}, which node {} knew to leave",
+                told.node
+            );
+        }
+    }
+}
--- a/crates/core/tests/soak/refusals.rs
+++ b/crates/core/tests/soak/refusals.rs
@@ -8,7 +8,10 @@
 
 const CALLERS: usize = 4;
 const REQUESTS: usize = 40;
-const FULL: &str = "503 Service Unavailable\r\nNot-Run: 1\r\n";
+/// The refusal of a full target, which does not name its request.
+pub const FULL: &str = "503 Service Unavailable\r\nNot-Run: 1\r\n";
+/// A response that says both that the request ran and that it did not.
+pub const CONTRADICTION: &str = "200 OK\r\nRequest-Id: ID\r\nSeal: s\r\nNot-Run: 1\r\n";
 
 // Callers send requests that may run once, while targets answer them in turn as `plan` says.
 async fn run(plan: &[Behaviour]) {
@@ -54,8 +57,7 @@
 /// Guards against a response with a receipt and `Not-Run` that makes a booking run twice.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn contradictory_responses_make_no_request_run_twice() {
-    let both = "200 OK\r\nRequest-Id: ID\r\nSeal: s\r\nNot-Run: 1\r\n";
-    run(&[Behaviour::Claim(both), Behaviour::Respond]).await;
+    run(&[Behaviour::Claim(CONTRADICTION), Behaviour::Respond]).await;
 }
 
 /// Guards against connections that targets reset while requests are sent on them.
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -82,6 +82,10 @@
     pub head: String,
     /// Whether the target started work on it.
     pub started: bool,
+    /// The target's `X-Incarnation` header at that time, if it has one.
+    pub incarnation: Option<String>,
+    /// What it was refused with by `Behaviour::Refuse`.
+    pub refusal: Option<&'static str>,
     /// When it arrived.
     pub at: Instant,
 }
@@ -91,6 +95,8 @@
         Self {
             head,
             started: false,
+            incarnation: None,
+            refusal: None,
             at: Instant::now(),
         }
     }
@@ -318,6 +324,12 @@
                     | Behaviour::Refuse(_)
                     | Behaviour::RefuseTwice(_)
             );
+            if let Behaviour::Refuse(head) = behaviour {
+                arrival.refusal = Some(head);
+            }
+            let headers = shared.headers.iter();
+            let mut named = headers.filter(|(name, _)| name == "X-Incarnation");
+            arrival.incarnation = named.next().map(|(_, value)| value.clone());
             shared.arrivals.push(arrival.clone());
             let crash = shared.crashes_on.as_ref();
             (
