--- a/crates/core/src/flags.rs
+++ b/crates/core/src/flags.rs
@@ -14,6 +14,7 @@
         .subcommand(serve())
         .subcommand(gateway())
         .subcommand(check())
+        .subcommand(explain())
         .subcommand(publish())
         .subcommand(preset())
         .subcommand(drain())
@@ -51,6 +52,26 @@
         .arg(file("file", "The file to check").required(true))
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Prints what the logs of gateway nodes say about one request, in order of time")
+        .arg(
+            Arg::new("request")
+                .long("request")
+                .value_name("ID")
+                .required(true)
+                .help("The request's id"),
+        )
+        .arg(
+            file(
+                "files",
+                "Logs of the nodes; their names stand in front of the lines",
+            )
+            .required(true)
+            .num_args(1..),
+        )
+}
+
 fn publish() -> Command {
     with_node_args(Command::new("publish"))
         .about("Publishes a configuration; prints its revision, or who published first")
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -4,6 +4,7 @@
 
 mod check;
 mod error;
+mod explain;
 mod flags;
 mod gateway;
 #[cfg(feature = "lab")]
@@ -52,6 +53,7 @@
             Command::Serve { settings, .. } => serve::run(*settings).await,
             Command::Gateway { settings, file } => gateway::run(*settings, file).await,
             Command::Check { file } => check::run(&file),
+            Command::Explain { request, files } => explain::run(&request, &files),
             Command::Publish { to, file, base } => operate::publish(&to, &file, base).await,
             Command::Preset { to, name } => operate::preset(&to, name).await,
             Command::Drain { to, name, on } => operate::drain(&to, name, on).await,
--- a/crates/core/src/resolved.rs
+++ b/crates/core/src/resolved.rs
@@ -65,6 +65,10 @@
     Check {
         file: PathBuf,
     },
+    Explain {
+        request: String,
+        files: Vec<PathBuf>,
+    },
     Publish {
         to: AdminEndpoint,
         file: PathBuf,
@@ -111,6 +115,10 @@
             Some(("check", m)) => Ok(Self::Check {
                 file: path(m, "file").to_owned(),
             }),
+            Some(("explain", m)) => Ok(Self::Explain {
+                request: text(m, "request").to_owned(),
+                files: m.get_many("files").into_iter().flatten().cloned().collect(),
+            }),
             Some(("publish", m)) => Ok(Self::Publish {
                 to: admin_endpoint(m)?,
                 file: path(m, "file").to_owned(),
--- a/crates/core/tests/processes/main.rs
+++ b/crates/core/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests with real processes on the loopback interface.
 
+mod explain;
 mod helper;
 
 use helper::{TestCluster, call, completion, wait_for_members};
