Count the end of a planned stop from the signal

What callers would see: a request that is sent to a target late in a planned stop and cut, if the store does not reply. Cause: took the time at which connections close from the moment at which the node had left the store's list, up to 0.8 s late.

a_planned_stop_counts_its_time_from_the_signal failed before (real processes, a silent store).

--- a/crates/core/tests/soak/planned_stop.rs
+++ b/crates/core/tests/soak/planned_stop.rs
@@ -92,17 +92,26 @@
     }
 }
 
-/// Guards against a request whose body ends late in a planned stop, and which is sent to a target and cut.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_request_whose_body_ends_late_in_a_planned_stop_reaches_no_target() {
+// Sends a request whose body ends only when a stopping node refuses new ones; checks that no target has had
+// it. With `silent_store`, the store does not reply, and the request is sent after the stop has begun.
+async fn end_body_late(deadline_ms: u32, silent_store: bool) {
     let cluster = start().await;
     let node = &cluster.nodes[0];
     for target in &cluster.targets {
         target.script(&[Behaviour::Unresponsive; 4 * SLOTS]);
     }
     let before = accepted(node).await;
+    node.store_relay.block(silent_store);
+    let stop = || {
+        let cluster = cluster.clone();
+        tokio::spawn(async move { cluster.nodes[0].stop().await })
+    };
+    let early = silent_store.then(stop);
+    if silent_store {
+        await_unready(node).await;
+    }
     let head = format!(
-        "POST /long/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: slow\r\n\
+        "POST /long/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: slow\r\nDeadline-Ms: {deadline_ms}\r\n\
          Authorization: Bearer {KEY}\r\nContent-Length: 4\r\n\r\nab"
     );
     let mut tcp = TcpStream::connect(node.address).await.unwrap();
@@ -110,10 +119,7 @@
     while accepted(node).await <= before {
         yield_now().await;
     }
-    let stopped = {
-        let cluster = cluster.clone();
-        tokio::spawn(async move { cluster.nodes[0].stop().await })
-    };
+    let stopped = early.unwrap_or_else(stop);
     await_refusal(node).await;
     tcp.write_all(b"cd").await.unwrap();
     let mut response = String::new();
@@ -126,3 +132,28 @@
     let reached = arrivals.filter(|a| a.header("request-id") == Some("slow"));
     assert_eq!(reached.count(), 0);
 }
+
+// Waits until a stopping node says that it is not ready.
+async fn await_unready(node: &Node) {
+    let check = Call::new("GET", "/api/readyz", "ready", KEY);
+    while let Ok(CallResult {
+        status: Some(StatusCode::OK),
+        ..
+    }) = call(node.readiness, &check).await
+    {
+        yield_now().await;
+    }
+}
+
+/// Guards against a request whose body ends late in a planned stop, and which is sent to a target and cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_body_ends_late_in_a_planned_stop_reaches_no_target() {
+    end_body_late(45_000, false).await;
+}
+
+/// Guards against a planned stop that takes its end for later than it is, because the store did not reply.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_counts_its_time_from_the_signal() {
+    // After the connections close, 2.1 s after the signal.
+    end_body_late(2500, true).await;
+}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -361,6 +361,7 @@
     pub async fn stop(&self) {
         let started = Instant::now();
         let plan = ShutdownPlan::new(self.cfg.bounds.stop_grace());
+        let close = clock::now() + plan.close.as_secs_f64() * 1000.0;
         self.directory.set_leaving();
         self.stop.send_replace(StopPhase::Leaving);
         self.notify_peers().await;
@@ -368,7 +369,6 @@
             // The entry stays until the address is reused; probes detect that nothing runs there.
             warn!(event = "announce", error:% = e; "cannot remove this node from the list of nodes");
         }
-        let close = clock::now() + plan.close.as_secs_f64() * 1000.0;
         loop {
             if started.elapsed() >= plan.refuse_from {
                 (self.set_admission)(Admission::Closing { close });
