--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod slots;
 mod stop;
 mod store_sync;
+mod verify;
 mod withheld;
 
 pub use crate::buffers::{BufferBudget, OverBudget, Reservation};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, From};
-use http::{Request, Response, StatusCode, Uri, request, response};
+use http::{Request, Response, Uri, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use log::info;
@@ -24,6 +24,7 @@
 use crate::relay::{Relay, StartedStream};
 use crate::slots::Slot;
 use crate::stop::Admission;
+use crate::verify::{Proof, Verdict, verify};
 use crate::{Protocol, RetryPolicy, TargetRequestHead, TargetResponseHead, Withheld, clock};
 
 /// Minimum time left for which a request is still dispatched, in milliseconds.
@@ -522,18 +523,21 @@
     ) -> Attempt {
         let (parts, body) = response.into_parts();
         let head = self.gateway.protocol.read_response(&parts);
-        if let Some(reason) = self.reject_reason(&parts, &head) {
-            info!(event = "distrusted", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reason, status = parts.status.as_u16(); "response rejected");
-            return Attempt::Malformed;
-        }
-        let refusal = refusal_outcome(&head).map(|outcome| {
-            self.record_refusal(&head, &parts, &connection, dispatch);
-            match head.id.is_some() || !connection.is_reused() {
-                true => Attempt::NotRun(outcome),
-                // It may be a copy of an earlier refusal, or bytes that belong to no request.
-                false => Attempt::Unproved(outcome),
+        let id = &self.admitted.head.id;
+        let refusal = match verify(&head, parts.status, id, !connection.is_reused()) {
+            Verdict::Rejected(reason) => {
+                info!(event = "distrusted", request:% = id, target:% = dispatch.slot.target, reason, status = parts.status.as_u16(); "response rejected");
+                return Attempt::Malformed;
+            }
+            Verdict::Refused(outcome, proof) => {
+                self.record_refusal(&head, proof, &parts, &connection, dispatch);
+                Some(match proof {
+                    Proof::Id | Proof::FirstResponse => Attempt::NotRun(outcome),
+                    Proof::None => Attempt::Unproved(outcome),
+                })
             }
-        });
+            Verdict::Accepted => None,
+        };
         if !head.misdirected {
             self.record_limit(&head, dispatch);
             self.record_withheld(&head, dispatch);
@@ -601,28 +605,23 @@
     fn record_refusal(
         &self,
         head: &TargetResponseHead,
+        proof: Proof,
         parts: &response::Parts,
         connection: &Connection,
         dispatch: &Dispatch,
     ) {
-        let has_id = head.id.is_some();
-        if !has_id {
+        if proof != Proof::Id {
             let connections = &self.gateway.connections;
             connections.record_unidentified_refusal(dispatch.slot.address);
         }
         info!(
             event = "refused_by_target", request:% = self.admitted.head.id,
-            target:% = dispatch.slot.target, status = parts.status.as_u16(), has_id,
+            target:% = dispatch.slot.target, status = parts.status.as_u16(), has_id = head.id.is_some(),
             receipt = head.receipt, earlier = connection.earlier,
             idle_ms = connection.idle_ms as u64, ms = (clock::now() - dispatch.sent) as u64,
             may_repeat = self.may_repeat();
             "the target says that it has not run the request"
         );
-        let proof = match (has_id, connection.is_reused()) {
-            (true, _) => "id",
-            (false, false) => "first-response",
-            (false, true) => "none",
-        };
         let labels = [label("proof", proof)];
         self.gateway.metrics.refused_by_targets.add(1, &labels);
     }
@@ -689,31 +688,6 @@
         first
     }
 
-    // Why a response cannot be the target's complete response to this request.
-    fn reject_reason(
-        &self,
-        parts: &response::Parts,
-        head: &TargetResponseHead,
-    ) -> Option<&'static str> {
-        let refuses = head.not_run || head.misdirected;
-        match head {
-            TargetResponseHead { id: Some(id), .. } if *id != self.admitted.head.id => {
-                Some("other id")
-            }
-            TargetResponseHead { encoded: true, .. } => Some("encoded"),
-            TargetResponseHead { not_run: true, .. } if !may_refuse(parts.status) => {
-                Some("not run, with a status of requests that ran")
-            }
-            _ if refuses => None,
-            _ if promises_not_run(parts.status) => Some("a refusal that does not say `not run`"),
-            TargetResponseHead { id: None, .. } => Some("no id"),
-            TargetResponseHead { receipt: false, .. } if parts.status.is_success() => {
-                Some("no receipt")
-            }
-            _ => None,
-        }
-    }
-
     /// Records a failed attempt and returns the refusal that the caller would get for it.
     pub fn record_failure(&mut self, dispatch: Dispatch, attempt: &Attempt) -> Refusal {
         // A hold may end while the request waits.
@@ -856,37 +830,6 @@
     pub born: u64,
 }
 
-// Whether a target that has not run a request may respond with this status.
-fn may_refuse(status: StatusCode) -> bool {
-    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
-}
-
-// Whether callers take this status for a promise that the request has not run and never will.
-fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
-}
-
-// How a refusal that has not run the request ends the use of its slot; `None` for other responses.
-fn refusal_outcome(head: &TargetResponseHead) -> Option<SlotOutcome> {
-    match head {
-        TargetResponseHead {
-            misdirected: true, ..
-        } => Some(SlotOutcome::Gone),
-        TargetResponseHead { not_run: false, .. } => None,
-        TargetResponseHead { leaving: true, .. } => Some(SlotOutcome::Leaving),
-        TargetResponseHead {
-            hold_ms: Some(for_ms),
-            ..
-        } => Some(SlotOutcome::Held { for_ms: *for_ms }),
-        _ => Some(SlotOutcome::Full),
-    }
-}
-
 // The ids of a prompt's parts, for logs.
 fn part_ids(parts: &[PromptPart]) -> String {
     let ids: Vec<_> = parts.iter().map(|p| format!("{:x}", p.id)).collect();
