Let requests wait for quota units once more while coordinators change

What callers saw: 429 right after a node was lost, far within the quota. Found by every_node_serves_when_any_other_is_lost, which failed once beside load. Each bucket starts empty, so its first request waits for a moment; a request waited once only, and while the view of the nodes changes it may meet two new buckets: the node's own share, then that of the next quota coordinator. Now it may wait twice, within the same time in all.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,9 @@
 const KEY_MARGIN_MS: f64 = 500.0;
 /// Fraction of a route's latency objective for which a request may wait for quota units.
 const QUOTA_WAIT_SHARE: f64 = 0.2;
+/// How often a request may wait for quota units. Each bucket starts empty, and while nodes are lost a
+/// request may meet two new ones: this node's own share, then that of the next quota coordinator.
+const MAX_QUOTA_WAITS: u32 = 2;
 /// Time reserved for the response to reach the caller, in milliseconds.
 const RESPONSE_TRANSIT_MS: f64 = 20.0;
 /// Bytes of responses that a node buffers before it passes them on.
@@ -257,13 +260,17 @@
             true => quota.plain_tokens,
             false => 1.0,
         };
+        let mut left_ms = admitted.route.objective_ms * QUOTA_WAIT_SHARE;
         let mut taken = self.limiter.take(workspace, units).await;
-        let max_wait_ms = admitted.route.objective_ms * QUOTA_WAIT_SHARE;
-        if let Err(wait_ms) = taken
-            && wait_ms <= max_wait_ms
-        {
-            tokio::time::sleep(Duration::from_secs_f64(wait_ms / 1000.0)).await;
-            taken = self.limiter.take(workspace, units).await;
+        for _ in 0..MAX_QUOTA_WAITS {
+            match taken {
+                Err(wait_ms) if wait_ms <= left_ms => {
+                    left_ms -= wait_ms;
+                    tokio::time::sleep(Duration::from_secs_f64(wait_ms / 1000.0)).await;
+                    taken = self.limiter.take(workspace, units).await;
+                }
+                _ => break,
+            }
         }
         let quota_status = taken.map_err(|retry_after_ms| {
             info!(event = "over_quota", request:% = admitted.head.id, workspace:% = workspace.name, units, retry_after_ms = retry_after_ms as u64; "workspace quota exhausted");
