--- a/crates/core/tests/soak/planned_stop.rs
+++ b/crates/core/tests/soak/planned_stop.rs
@@ -45,18 +45,28 @@
     count.unwrap_or(0.0) as u64
 }
 
-// Waits until the node refuses new requests, which it does before it looks at their routes.
-async fn await_refusal(node: &Node) {
-    let probe = Call::new("GET", "/nowhere/a", "probe", KEY);
-    while let Ok(CallResult {
-        status: Some(StatusCode::NOT_FOUND),
-        ..
-    }) = call(node.address, &probe).await
+// Repeats a request until it gets another status, or no response.
+async fn repeat_while(status: StatusCode, addr: SocketAddr, req: &Call) {
+    while call(addr, req)
+        .await
+        .is_ok_and(|r| r.status == Some(status))
     {
         yield_now().await;
     }
 }
 
+// Waits until the node refuses new requests, which it does before it looks at their routes.
+async fn await_refusal(node: &Node) {
+    let probe = Call::new("GET", "/nowhere/a", "probe", KEY);
+    repeat_while(StatusCode::NOT_FOUND, node.address, &probe).await;
+}
+
+// Waits until a stopping node says that it is not ready.
+async fn await_unready(node: &Node) {
+    let check = Call::new("GET", "/api/readyz", "ready", KEY);
+    repeat_while(StatusCode::OK, node.readiness, &check).await;
+}
+
 // Every request has an answer, and what the answer promises is true.
 fn check(cluster: &TestCluster, id: &str, status: Option<u16>) {
     let runs = cluster.runs().get(id).copied().unwrap_or(0);
@@ -133,18 +143,6 @@
     assert_eq!(reached.count(), 0);
 }
 
-// Waits until a stopping node says that it is not ready.
-async fn await_unready(node: &Node) {
-    let check = Call::new("GET", "/api/readyz", "ready", KEY);
-    while let Ok(CallResult {
-        status: Some(StatusCode::OK),
-        ..
-    }) = call(node.readiness, &check).await
-    {
-        yield_now().await;
-    }
-}
-
 /// Guards against a request whose body ends late in a planned stop, and which is sent to a target and cut.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_whose_body_ends_late_in_a_planned_stop_reaches_no_target() {
