--- a/crates/core/tests/soak/cluster.rs
+++ b/crates/core/tests/soak/cluster.rs
@@ -7,6 +7,7 @@
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
+use std::process::ExitStatus;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -208,9 +209,8 @@
         self.record_signal();
         let child = self.child.lock().await;
         if let Some(pid) = child.as_ref().and_then(Child::id) {
-            let status = Command::new("kill").args([name, &pid.to_string()]).status();
             // The process may have exited in the meantime.
-            let _ = status.await;
+            let _ = kill(name, pid).await;
         }
     }
 
@@ -221,18 +221,16 @@
         let pid = child.as_ref().and_then(Child::id);
         let listens = TcpStream::connect(self.readiness).await.is_ok();
         if let Some(pid) = pid.filter(|_| listens) {
-            let mut kill = Command::new("kill");
             // The process may have exited in the meantime.
-            let _ = kill.args(["-HUP", &pid.to_string()]).status().await;
+            let _ = kill("-HUP", pid).await;
         }
     }
 
     /// Stops the process as the platform does and waits for its exit.
     pub async fn stop(&self) {
         let mut child = self.child.lock().await.take().expect("it runs");
-        let pid = child.id().expect("it runs").to_string();
-        let status = Command::new("kill").args(["-TERM", &pid]).status().await;
-        assert!(status.unwrap().success());
+        let pid = child.id().expect("it runs");
+        assert!(kill("-TERM", pid).await.unwrap().success());
         assert!(child.wait().await.unwrap().success());
     }
 
@@ -245,11 +243,8 @@
         self.record_signal();
         if let Some(pid) = child.id() {
             for signal in [signal, "-CONT"] {
-                let status = Command::new("kill")
-                    .args([signal, &pid.to_string()])
-                    .status();
                 // The process may have exited in the meantime.
-                let _ = status.await;
+                let _ = kill(signal, pid).await;
             }
         }
         child.wait().await.expect("a child can be waited for");
@@ -258,6 +253,11 @@
     }
 }
 
+async fn kill(signal: &str, pid: u32) -> std::io::Result<ExitStatus> {
+    let mut kill = Command::new("kill");
+    kill.args([signal, &pid.to_string()]).status().await
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         // A failure only leaves files in the temporary directory.
