Warn of each second send of a request that may run once, with what proves it

The users' record prefers lines that name the request and warnings; no line of ours about a second send was one. No change of logic.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexMap;
 use log::debug;
 use rwd_placement::Timestamp;
+use rwd_types::TargetName;
 use socket2::SockRef;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard};
@@ -17,6 +18,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
+use crate::evidence::{Evidence, Reason};
 
 /// Connect timeout: some round trips, and the target's time to accept.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -75,6 +77,7 @@
     pub earlier: u32,
     /// How long it was idle before the current request, in milliseconds.
     pub idle_ms: f64,
+    opened: Timestamp,
 }
 
 impl Connection {
@@ -83,6 +86,19 @@
         self.earlier > 0
     }
 
+    /// Why a request that was sent on it at `sent` counts as not run at its target.
+    pub fn evidence(&self, target: &TargetName, reason: Reason, sent: Timestamp) -> Evidence {
+        let now = clock::now();
+        Evidence {
+            target: target.clone(),
+            reason,
+            earlier: self.earlier,
+            idle_ms: self.idle_ms as u64,
+            age_ms: (now - self.opened) as u64,
+            after_ms: (now - sent) as u64,
+        }
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(&mut self, req: Request<Full<Bytes>>) -> SendResult {
         match self.tx.try_send_request(req).await {
@@ -239,5 +255,6 @@
         tx,
         earlier: 0,
         idle_ms: 0.0,
+        opened: clock::now(),
     })
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod crash_sync;
 mod edge;
 mod events;
+mod evidence;
 mod follow;
 mod gateway;
 mod limits;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,7 +8,7 @@
 use http::{Request, Response, Uri, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use log::info;
+use log::{info, warn};
 use rwd_metrics::label;
 use rwd_placement::{LimitReport, Offer, PromptPart, SlotOutcome, Timestamp};
 use rwd_types::TargetName;
@@ -19,6 +19,7 @@
 use crate::buffers::{OverBudget, Reservation};
 use crate::connection::{ConnectError, Connection, Reuse, SendResult};
 use crate::events::{EventReader, Next, StreamError};
+use crate::evidence::{Evidence, Reason};
 use crate::gateway::{Admitted, Body, Gateway, InProgress};
 use crate::refusal::Refusal;
 use crate::relay::{Relay, StartedStream};
@@ -68,6 +69,8 @@
     unreachable: u32,
     // Slots that were given back because of what their targets' responses said.
     withheld: u32,
+    // Why it counts as not run at the target that it was last sent to.
+    evidence: Option<Evidence>,
     /// Events of the response that have been relayed.
     pub events: u32,
     /// When the current target began to write its response.
@@ -132,6 +135,7 @@
             refusals: 0,
             unreachable: 0,
             withheld: 0,
+            evidence: None,
             events: 0,
             writing_since: None,
             _in_progress: in_progress,
@@ -454,6 +458,7 @@
                 return Attempt::Unreachable;
             }
             let req = self.target_request(&dispatch.slot, left_ms, last_event);
+            self.record_second_send(&dispatch.slot.target);
             dispatch.sent = clock::now();
             self.in_flight = true;
             let limit = self.first_byte_timeout(&dispatch.slot, left_ms);
@@ -463,6 +468,8 @@
                 // The connection was closed while it was idle; another one is tried.
                 Some(SendResult::NotSent) if connection.is_reused() => {
                     info!(event = "not_sent", request:% = self.admitted.head.id, target:% = dispatch.slot.target, idle_ms = connection.idle_ms as u64; "an idle connection had been closed; nothing was sent on it");
+                    self.evidence =
+                        Some(connection.evidence(&target, Reason::NotSent, dispatch.sent));
                     continue;
                 }
                 Some(SendResult::NotSent) => return Attempt::Unreachable,
@@ -601,9 +608,38 @@
         }
     }
 
+    // Logs that a request that may run once is sent again, and why it counts as not run. Nothing else
+    // would explain a request that ran twice, so this is a warning, which survives a crash.
+    fn record_second_send(&mut self, target: &TargetName) {
+        let Some(before) = self.evidence.take() else {
+            return;
+        };
+        if self.may_repeat() {
+            return;
+        }
+        let (status, has_id, not_run) = match before.reason {
+            Reason::NotSent => (0, false, false),
+            Reason::Refused {
+                status,
+                has_id,
+                not_run,
+            } => (status, has_id, not_run),
+        };
+        warn!(
+            event = "second_send", request:% = self.admitted.head.id, target:%, before:% = before.target,
+            proof:% = before.reason, status, has_id, not_run, earlier = before.earlier,
+            idle_ms = before.idle_ms, age_ms = before.age_ms, after_ms = before.after_ms,
+            route:% = self.admitted.route.name, retry:? = self.admitted.route.retry,
+            config = self.admitted.catalog.version;
+            "sending a request that may run once again, as it has not run"
+        );
+        let labels = [label("proof", before.reason)];
+        self.gateway.metrics.second_sends.add(1, &labels);
+    }
+
     // Records a response that says that the request has not run, with what speaks for and against it.
     fn record_refusal(
-        &self,
+        &mut self,
         head: &TargetResponseHead,
         proof: Proof,
         parts: &response::Parts,
@@ -624,6 +660,13 @@
         );
         let labels = [label("proof", proof)];
         self.gateway.metrics.refused_by_targets.add(1, &labels);
+        let reason = Reason::Refused {
+            status: parts.status.as_u16(),
+            has_id: head.id.is_some(),
+            not_run: head.not_run,
+        };
+        let target = &dispatch.slot.target;
+        self.evidence = Some(connection.evidence(target, reason, dispatch.sent));
     }
 
     // Records the request limit that the target names in its response.
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -54,6 +54,8 @@
     pub sends_failed: Counter<u64>,
     /// Responses that say that their request has not run, by what proves them to be its own.
     pub refused_by_targets: Counter<u64>,
+    /// Requests that may run once and were sent again, by what proves that they had not run.
+    pub second_sends: Counter<u64>,
     /// Changes of targets' request limits that responses brought, by kind.
     pub limits_changed: Counter<u64>,
     /// Responses that ended or interrupted the use of their targets, by reason.
@@ -89,6 +91,7 @@
             slot_wait_ms: latency(&meter, "slot_wait_ms"),
             sends_failed: counter(&meter, "sends_failed"),
             refused_by_targets: counter(&meter, "refused_by_targets"),
+            second_sends: counter(&meter, "second_sends"),
             limits_changed: counter(&meter, "limits_changed"),
             targets_withheld: counter(&meter, "targets_withheld"),
             store_reads_failed: counter(&meter, "store_reads_failed"),
