Write warnings at once and the last lines of an exit

Lines were collected for 100 ms before they were written, so a kill lost the last ones, and so did an ordinary exit; beyond 2,000 queued lines the newest were dropped, warnings too. Callers now write warnings themselves if that does not block; other lines use a quarter of a pipe at most, so that warnings fit behind a slow reader. The module's name no longer shares the key 'target' with events.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -27,9 +27,11 @@
     let mut stop = std::pin::pin!(node.stop());
     loop {
         tokio::select! {
-            () = &mut stop => return Ok(ExitCode::SUCCESS),
+            () = &mut stop => break,
             _ = terminate.recv() => info!(event = "stop"; "graceful shutdown already in progress"),
             _ = hangup.recv() => info!(event = "reload"; "shutting down, settings not reloaded"),
         }
     }
+    info!(event = "stopped", node:% = name; "graceful shutdown complete");
+    Ok(ExitCode::SUCCESS)
 }
--- a/crates/core/src/logging.rs
+++ b/crates/core/src/logging.rs
@@ -4,12 +4,9 @@
 use flexi_logger::{DeferredNow, Logger, LoggerHandle, Record};
 use log::kv::{Error, Key, Value, VisitSource};
 use std::io::{self, Write};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::thread;
-use std::time::Duration;
 
 use crate::Result;
+use crate::log_writer::LineWriter;
 use crate::resolved::LogFormat;
 
 /// Log filter if `RUST_LOG` is not set.
@@ -22,7 +19,7 @@
         LogFormat::Text => Logger::try_with_env_or_str(DEFAULT_SPEC)?.format(text),
         LogFormat::Json => Logger::try_with_env_or_str(DEFAULT_SPEC)?.format(json),
         LogFormat::Bounded => {
-            let writer = Box::new(BoundedWriter::start());
+            let writer = Box::new(JsonWriter(LineWriter::start()));
             let logger = Logger::try_with_env_or_str(DEFAULT_SPEC)?;
             return Ok(Some(logger.log_to_writer(writer).start()?));
         }
@@ -30,81 +27,27 @@
     Ok(Some(logger.log_to_stderr().start()?))
 }
 
-/// Maximum number of queued lines; further ones are dropped and counted.
-const MAX_QUEUED_LINES: usize = 2000;
-/// Time for which lines are collected into one write.
-const BATCH_TIME: Duration = Duration::from_millis(100);
+/// Writes records as JSON lines.
+struct JsonWriter(LineWriter);
 
-/// Maximum bytes per write, unless a single line is longer: writes to a pipe are atomic up to
-/// PIPE_BUF, so lines of processes that share a pipe do not mix.
-const MAX_WRITE_BYTES: usize = 4096;
-
-/// Queues lines for a writer thread; a slow reader makes it drop lines but never blocks it.
-struct BoundedWriter {
-    tx: SyncSender<Vec<u8>>,
-    dropped: AtomicU64,
-}
-
-impl BoundedWriter {
-    fn start() -> Self {
-        let (tx, rx) = sync_channel(MAX_QUEUED_LINES);
-        thread::spawn(move || write_lines(&rx));
-        Self {
-            tx,
-            dropped: AtomicU64::new(0),
-        }
-    }
-}
-
-impl LogWriter for BoundedWriter {
+impl LogWriter for JsonWriter {
     fn write(&self, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
         let mut line = Vec::with_capacity(256);
         json(&mut line, now, record)?;
         line.push(b'\n');
-        let dropped = self.dropped.load(Ordering::Relaxed);
-        if dropped > 0 {
-            let note = format!("{{\"event\":\"log_lines_dropped\",\"count\":{dropped}}}\n");
-            if self.tx.try_send(note.into_bytes()).is_ok() {
-                self.dropped.fetch_sub(dropped, Ordering::Relaxed);
-            }
-        }
-        if self.tx.try_send(line).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
+        self.0.write(record.level(), line);
         Ok(())
     }
 
     fn flush(&self) -> io::Result<()> {
         Ok(())
     }
-}
 
-// Returns when the logger is dropped or standard output cannot be written.
-fn write_lines(rx: &Receiver<Vec<u8>>) {
-    while let Ok(first) = rx.recv() {
-        thread::sleep(BATCH_TIME);
-        let mut chunk = first;
-        while let Ok(line) = rx.try_recv() {
-            if chunk.len() + line.len() > MAX_WRITE_BYTES {
-                if write_chunk(&chunk).is_err() {
-                    return;
-                }
-                chunk.clear();
-            }
-            chunk.extend(line);
-        }
-        if write_chunk(&chunk).is_err() {
-            return;
-        }
+    fn shutdown(&self) {
+        self.0.close();
     }
 }
 
-fn write_chunk(chunk: &[u8]) -> io::Result<()> {
-    let mut out = io::stdout().lock();
-    out.write_all(chunk)?;
-    out.flush()
-}
-
 struct Text(String);
 
 impl<'kvs> VisitSource<'kvs> for Text {
@@ -155,7 +98,8 @@
     line.0.insert("time".into(), time.into());
     line.0
         .insert("level".into(), record.level().as_str().into());
-    line.0.insert("target".into(), record.target().into());
+    // Not `target`, which is a key of many lines.
+    line.0.insert("module".into(), record.target().into());
     line.0
         .insert("msg".into(), record.args().to_string().into());
     // The line is written even if its key-value pairs cannot be formatted.
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -9,6 +9,7 @@
 mod gateway;
 #[cfg(feature = "lab")]
 mod lab;
+mod log_writer;
 mod logging;
 mod operate;
 mod resolved;
@@ -41,7 +42,15 @@
 }
 
 fn run(command: Command) -> Result<ExitCode> {
-    let _logger = logging::start(command.log())?;
+    let logger = logging::start(command.log())?;
+    let result = execute(command);
+    if let Some(logger) = logger {
+        logger.shutdown();
+    }
+    result
+}
+
+fn execute(command: Command) -> Result<ExitCode> {
     let mut builder = match command {
         // Gateway machines have less than one core, so more threads would only cost memory.
         Command::Gateway { .. } => Builder::new_current_thread(),
--- a/crates/core/tests/soak/cluster.rs
+++ b/crates/core/tests/soak/cluster.rs
@@ -7,11 +7,11 @@
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::ExitStatus;
+use std::process::{ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use tokio::process::{Child, Command};
+use tokio::process::{Child, ChildStdout, Command};
 use tokio::sync::Mutex;
 use tokio::time::sleep;
 
@@ -177,22 +177,48 @@
     }
 
     fn spawn(&self) -> Child {
+        self.spawn_to(File::options().append(true).open(&self.log).unwrap().into())
+    }
+
+    fn spawn_to(&self, log: Stdio) -> Child {
         self.record_signal();
         Command::new(env!("CARGO_BIN_EXE_redwingdrift"))
             .args(["gateway", "--settings"])
             .arg(&self.settings)
-            .stdout(File::options().append(true).open(&self.log).unwrap())
+            .stdout(log)
             .kill_on_drop(true)
             .spawn()
             .expect("the binary starts")
     }
 
+    /// Starts another process in place of its process, and returns the log, which nobody reads.
+    pub async fn restart_with_unread_log(&self) -> ChildStdout {
+        let mut slot = self.child.lock().await;
+        let mut child = slot.take().expect("it runs");
+        child.kill().await.expect("it runs");
+        let mut child = self.spawn_to(Stdio::piped());
+        let log = child.stdout.take().expect("it is a pipe");
+        *slot = Some(child);
+        log
+    }
+
+    /// Kills the process and waits for its end.
+    pub async fn kill(&self) {
+        let mut child = self.child.lock().await.take().expect("it runs");
+        child.kill().await.expect("it runs");
+    }
+
+    /// The log lines of all its processes.
+    pub fn lines(&self) -> Vec<String> {
+        let log = std::fs::read_to_string(&self.log).unwrap();
+        log.lines().map(str::to_owned).collect()
+    }
+
     /// The log lines of all its processes that name a request.
     pub fn lines_of(&self, id: &str) -> Vec<String> {
-        let log = std::fs::read_to_string(&self.log).unwrap();
         let id = format!("\"{id}\"");
-        let lines = log.lines().filter(|l| l.contains(&id));
-        lines.map(str::to_owned).collect()
+        let lines = self.lines().into_iter().filter(|l| l.contains(&id));
+        lines.collect()
     }
 
     /// Says how its process ended, if it has, and where its log is kept.
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -20,7 +20,8 @@
     NotRun,
     /// Responds with 421: the request is meant for another target.
     Misdirected,
-    /// Refuses with this status line and these headers, and no id.
+    /// Refuses with this status line and these headers, the last one without its line end. `ID` stands for
+    /// the id of the request.
     Refuse(&'static str),
     /// Refuses with this status line and these headers, and sends the same bytes once more when the next
     /// request arrives on the connection, before it responds to that.
@@ -457,10 +458,7 @@
             )
         }
         Behaviour::Response(status, body) => (head(status, id, &with_length(body)), true),
-        Behaviour::Refuse(head) => (
-            format!("HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n"),
-            true,
-        ),
+        Behaviour::Refuse(head) => (refusal(&format!("{head}\r\n"), arrival), true),
         Behaviour::RefuseTwice(head) => (refusal(head, arrival), true),
         Behaviour::Fail => {
             let failed = head("500 Internal Server Error", id, "Seal: s\r\n");
