--- a/crates/core/tests/soak/cluster.rs
+++ b/crates/core/tests/soak/cluster.rs
@@ -131,6 +131,13 @@
             .put("keyed.servers", self.targets[n].name(), Some(&record));
     }
 
+    /// Lists a target at the address of target `n`, as one that has ended there and is still listed.
+    pub fn list_predecessor(&self, n: usize, name: &str) {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let record = server_record("desk", self.relays[n].address(), "ready", sequence);
+        self.store.put("keyed.servers", name, Some(&record));
+    }
+
     /// Lists a target as one that has been started again.
     pub fn list_restarted(&self, n: usize) {
         self.born[n].fetch_add(1, Ordering::Relaxed);
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -13,7 +13,7 @@
 pub use crate::site::limit_count::{Excess, LimitCount};
 pub use crate::site::slow_link::SlowLink;
 pub use crate::site::store::{FakeStore, PAGE_RECORDS, StoreCopy, StoreFault};
-pub use crate::site::target::{Arrival, Behaviour, FakeTarget, STREAM_EVENTS};
+pub use crate::site::target::{Arrival, Behaviour, FakeTarget, Late, STREAM_EVENTS};
 
 /// Timeout of the route for long requests in [`config_record`], in milliseconds.
 const LONG_TIMEOUT_MS: u64 = 45_000;
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -30,7 +30,7 @@
     /// request arrives on the connection, before it responds to that.
     RespondThenRefuse(&'static str),
     /// Runs the request and responds with this status line and these headers, in which `ID` stands for
-    /// the id of the request.
+    /// the id of the request and `SELF` for the target that it is meant for.
     Claim(&'static str),
     /// Runs it and sends the head of a complete response without its last bytes, so many of them, then
     /// closes the connection.
@@ -73,6 +73,19 @@
     Endless(&'static [u8], &'static [u8]),
 }
 
+/// Where a target writes a refusal once more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Late {
+    /// On the connection of the refusal, when the next request arrives there.
+    SameConnection,
+    /// On the next new connection, when its first request arrives.
+    NextConnection,
+}
+
+/// How a target refuses requests that are meant for another one.
+const MISDIRECTED: &str =
+    "421 Misdirected Request\r\nRequest-Id: ID\r\nNot-Run: 1\r\nInstance-Id: another";
+
 /// Length of a pause; exceeds the gap after which the gateway considers a stream unresponsive.
 const PAUSE: Duration = Duration::from_millis(2000);
 
@@ -128,6 +141,14 @@
     limit: Option<String>,
     // Further headers of its responses.
     headers: Vec<(String, String)>,
+    // The name that requests must be meant for, in lower case.
+    instance: Option<String>,
+    // Where refusals are written once more.
+    repeats: Option<Late>,
+    // The refusal that the next new connection gets.
+    late: Vec<u8>,
+    // How long it works on a request that it runs.
+    work_time: Duration,
 }
 
 /// A running fake target; dropping it stops accepting connections.
@@ -218,6 +239,27 @@
         lock(&self.shared).headers = owned.collect();
     }
 
+    /// Refuses with 421 all requests that are not meant for `name`, as a target that was started again at
+    /// the address of another one.
+    pub fn accept_only(&self, name: &str) {
+        lock(&self.shared).instance = Some(name.to_lowercase());
+    }
+
+    /// Works for so long on each request that it runs from now on.
+    pub fn set_work_time(&self, time: Duration) {
+        lock(&self.shared).work_time = time;
+    }
+
+    /// Writes each refusal once more from now on, or no longer.
+    pub fn repeat_refusals(&self, place: Option<Late>) {
+        lock(&self.shared).repeats = place;
+    }
+
+    /// Crashes: all of its connections end, and it is started again at the same address.
+    pub fn crash(&self) {
+        self.crashes.send_modify(|n| *n += 1);
+    }
+
     /// Number of crashes so far.
     pub fn crashes(&self) -> usize {
         *self.crashes.borrow()
@@ -304,10 +346,14 @@
     } = process;
     let mut buf = BytesMut::new();
     let mut late = Vec::new();
+    let mut is_new = true;
     loop {
         let Some(head) = read_request(&mut tcp, &mut buf).await? else {
             return Ok(());
         };
+        if std::mem::take(&mut is_new) {
+            late.extend(std::mem::take(&mut lock(shared).late));
+        }
         tcp.write_all(&std::mem::take(&mut late)).await?;
         let mut arrival = Arrival::new(head);
         let (behaviour, crashes) = {
@@ -318,6 +364,11 @@
                 (Some((_, next)), true) => next,
                 (None, _) => shared.script.pop_front().unwrap_or(Behaviour::Respond),
             };
+            let expected = arrival.header("expect-instance");
+            let behaviour = match &shared.instance {
+                Some(name) if expected.is_some_and(|e| e != name) => Behaviour::Refuse(MISDIRECTED),
+                _ => behaviour,
+            };
             arrival.started = !matches!(
                 behaviour,
                 Behaviour::NotRun
@@ -348,15 +399,30 @@
             return Ok(());
         }
         let (bytes, keep_alive) = response(behaviour, &arrival);
-        let (limit, mut headers) = {
+        let (limit, mut headers, work_time) = {
             let shared = lock(shared);
-            (shared.limit.clone(), shared.headers.clone())
+            (
+                shared.limit.clone(),
+                shared.headers.clone(),
+                shared.work_time,
+            )
         };
+        if arrival.started && !work_time.is_zero() {
+            tokio::time::sleep(work_time).await;
+        }
         headers.extend(limit.map(|limit| ("Server-Limit".to_owned(), limit)));
         let bytes = with_headers(bytes, &headers);
         match behaviour {
             Behaviour::RefuseTwice(_) => late = bytes.clone(),
             Behaviour::RespondThenRefuse(head) => late = refusal(head, &arrival).into_bytes(),
+            Behaviour::Refuse(_) | Behaviour::NotRun => {
+                let mut shared = lock(shared);
+                match shared.repeats {
+                    Some(Late::SameConnection) => late = bytes.clone(),
+                    Some(Late::NextConnection) => shared.late = bytes.clone(),
+                    None => (),
+                }
+            }
             _ => (),
         }
         let middle = match behaviour {
@@ -495,7 +561,8 @@
 // A response without a body, with this status line and these headers.
 fn refusal(head: &str, arrival: &Arrival) -> String {
     let id = arrival.header("request-id").unwrap_or_default();
-    let head = head.replace("ID", id);
+    let target = arrival.header("expect-instance").unwrap_or_default();
+    let head = head.replace("ID", id).replace("SELF", target);
     format!("HTTP/1.1 {head}Content-Length: 0\r\n\r\n")
 }
 
--- a/crates/lab/tests/gateway/unsafe_requests.rs
+++ b/crates/lab/tests/gateway/unsafe_requests.rs
@@ -1,10 +1,16 @@
 //! Requests that may run once only, and the responses after which one could be sent again.
 
 use crate::helper::{TestCluster, post};
-use rwd_lab::site::{Behaviour, CallResult};
+use rwd_lab::site::{Behaviour, CallResult, Late, call, server_record};
+use std::time::Duration;
+use tokio::task::JoinSet;
 
 /// Requests that are sent one after the other, while connections are kept.
 const REQUESTS: usize = 6;
+/// How often a target is started again at the address of another one.
+const RESTARTS: usize = 10;
+/// Requests that are sent at the same time, more than one target has slots for.
+const CALLERS: usize = 12;
 
 // Sends requests one after the other to two targets that treat each as `behaviour` says.
 async fn check(behaviour: Behaviour, path: &str) {
@@ -97,6 +103,91 @@
     check_all(claims.map(Behaviour::Claim)).await;
 }
 
+/// Guards against a refusal with a receipt, or with a status that no refusal has, that is believed though
+/// the request ran.
+#[tokio::test]
+async fn a_refusal_that_no_target_sends_makes_no_request_run_twice() {
+    let claims = [
+        "503 Service Unavailable\r\nRequest-Id: ID\r\nSeal: s\r\nNot-Run: 1\r\n",
+        "429 Too Many Requests\r\nRequest-Id: ID\r\nSeal: s\r\nNot-Run: 1\r\n",
+        "421 Misdirected Request\r\nRequest-Id: ID\r\nSeal: s\r\nInstance-Id: other\r\n",
+        "421 Misdirected Request\r\nRequest-Id: ID\r\nInstance-Id: SELF\r\n",
+        "421 Misdirected Request\r\nRequest-Id: ID\r\n",
+        "404 Not Found\r\nRequest-Id: ID\r\nNot-Run: 1\r\n",
+        "408 Request Timeout\r\nRequest-Id: ID\r\nNot-Run: 1\r\n",
+    ];
+    check_all(claims.map(Behaviour::Claim)).await;
+}
+
+/// Guards against a refusal without an id that comes first on a new connection and is taken for the
+/// response to its first request.
+#[tokio::test]
+async fn a_refusal_sent_again_on_the_next_connection_makes_no_request_run_twice() {
+    let refusals = [
+        "503 Service Unavailable\r\nNot-Run: 1",
+        "429 Too Many Requests\r\nNot-Run: 1",
+        "400 Bad Request\r\nNot-Run: 1",
+        "421 Misdirected Request\r\nInstance-Id: other",
+    ];
+    for refusal in refusals.map(Behaviour::Refuse) {
+        for path in ["/unsafe/a", "/once/a"] {
+            let cluster = TestCluster::start(1, 2, 2).await;
+            for target in cluster.desk_targets.iter().chain(&cluster.model_targets) {
+                target.script(&[refusal, Behaviour::Respond].repeat(REQUESTS));
+                target.repeat_refusals(Some(Late::NextConnection));
+            }
+            for n in 0..2 * REQUESTS {
+                let id = format!("u{n}");
+                let result = cluster.call(&post(path, &id)).await;
+                check_request(&cluster, refusal, path, &id, &result);
+            }
+        }
+    }
+}
+
+/// Guards against a second copy of a refusal that names its request, when that is sent again on the same
+/// connection: to a target that was started again at the address of the one that refused.
+#[tokio::test]
+async fn a_refusal_sent_again_by_a_restarted_target_makes_no_request_run_twice() {
+    for place in [Late::SameConnection, Late::NextConnection] {
+        let cluster = TestCluster::start(1, 2, 0).await;
+        let restarted = &cluster.desk_targets[0];
+        restarted.accept_only(restarted.name());
+        restarted.repeat_refusals(Some(place));
+        // The targets are busy, so that the old one is tried too.
+        for target in &cluster.desk_targets {
+            target.set_work_time(Duration::from_millis(40));
+        }
+        let mut requests = 0;
+        for n in 0..RESTARTS {
+            let old = format!("old-{n}");
+            let record = server_record("desk", restarted.address(), "ready", 1);
+            cluster.store.put("keyed.servers", &old, Some(&record));
+            let is_reached = || {
+                let arrivals = restarted.arrivals();
+                let expected = arrivals.iter().map(|a| a.header("expect-instance"));
+                expected.into_iter().any(|e| e == Some(&old))
+            };
+            while !is_reached() {
+                let mut calls = JoinSet::new();
+                for _ in 0..CALLERS {
+                    requests += 1;
+                    let (id, addr) = (format!("u{requests}"), cluster.request_addr(0));
+                    calls.spawn(async move {
+                        let result = call(addr, &post("/unsafe/a", &id)).await;
+                        (id, result.unwrap())
+                    });
+                }
+                while let Some(done) = calls.join_next().await {
+                    let (id, result) = done.unwrap();
+                    check_request(&cluster, Behaviour::Misdirected, "/unsafe/a", &id, &result);
+                }
+            }
+            cluster.store.put("keyed.servers", &old, None);
+        }
+    }
+}
+
 /// Guards against a status of a target that ran the request and that tells its caller it has not run.
 #[tokio::test]
 async fn a_status_that_promises_more_than_the_target_does_not_reach_the_caller() {
