Send a request that may run once again only in exchange for a proof

Callers' bookings ran twice, or were answered 503 though they ran.

Cause: a response was taken for proof that this send of the request made nothing run, though it only proved less.

Class: a message is matched with less than the send that it must prove something about (place, then id).

Now every send consumes a permit. A request has one to begin with, routes whose requests may run more than once give more, and all others come in exchange for a proof, which only proof.rs makes: from a request that the HTTP library returns unwritten, or from a refusal with the request's id, a status of refusals, no receipt, to the only send of the request to that address. Connections belong to a target, not to an address, and are closed after a 421. The rule that believed first responses, and the new connections that it needed, are gone.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,6 +1,7 @@
 //! A pool of connections to targets.
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,7 +19,7 @@
 use tokio::time::timeout;
 
 use crate::clock;
-use crate::evidence::{Evidence, Reason};
+use crate::proof::{Permit, Proof, SendInfo};
 
 /// Connect timeout: some round trips, and the target's time to accept.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -31,9 +32,6 @@
 /// Idle time after which a connection may be dead without notice, in milliseconds; requests that
 /// must not run twice are sent on a new one.
 const MAX_FRESH_IDLE_MS: f64 = 500.0;
-/// Time after a refusal without an id for which requests that must not run twice are sent to its target
-/// on new connections, in milliseconds. Targets refuse in series.
-const UNIDENTIFIED_REFUSAL_MS: f64 = 5000.0;
 /// Largest read buffer of a connection, and so the largest head of a response, in bytes.
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum number of idle connections to one target.
@@ -55,7 +53,7 @@
 pub(crate) enum Reuse {
     /// Any.
     Allowed,
-    /// Those that are not likely to be dead, and whose next response can be identified.
+    /// Those that are not likely to be dead.
     Sound,
 }
 
@@ -64,13 +62,14 @@
     /// The head of the response.
     Response(Response<Incoming>),
     /// The connection was closed before anything was sent.
-    NotSent,
+    NotSent(Proof),
     /// The connection broke after the request may have been sent.
     Broken(hyper::Error),
 }
 
 /// A connection; dropping it in the middle of a response closes it.
 pub(crate) struct Connection {
+    target: TargetName,
     address: SocketAddr,
     tx: SendRequest<Full<Bytes>>,
     /// Requests that were sent on it before the current one.
@@ -86,25 +85,30 @@
         self.earlier > 0
     }
 
-    /// Why a request that was sent on it at `sent` counts as not run at its target.
-    pub fn evidence(&self, target: &TargetName, reason: Reason, sent: Timestamp) -> Evidence {
-        let now = clock::now();
-        Evidence {
-            target: target.clone(),
-            reason,
+    /// A send of a request on it, which begins now.
+    pub fn begin_send(&self, id: &CompactString, same_address: bool) -> SendInfo {
+        SendInfo {
+            id: id.clone(),
+            target: self.target.clone(),
+            at: clock::now(),
+            same_address,
             earlier: self.earlier,
-            idle_ms: self.idle_ms as u64,
-            age_ms: (now - self.opened) as u64,
-            after_ms: (now - sent) as u64,
+            idle_ms: self.idle_ms,
+            opened: self.opened,
         }
     }
 
-    /// Sends a request and waits for the head of the response.
-    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> SendResult {
+    /// Sends a request, for which it spends a permit, and waits for the head of the response.
+    pub async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+        _permit: Permit,
+        send: &SendInfo,
+    ) -> SendResult {
         match self.tx.try_send_request(req).await {
             Ok(response) => SendResult::Response(response),
             Err(mut e) => match e.take_message() {
-                Some(_) => SendResult::NotSent,
+                Some(unwritten) => SendResult::NotSent(Proof::not_sent(unwritten, send.clone())),
                 None => SendResult::Broken(e.into_error()),
             },
         }
@@ -117,48 +121,43 @@
     until: Timestamp,
 }
 
+/// The target that connections belong to. Another one that is started at the same address gets
+/// connections of its own, as late bytes on the earlier ones may be about the same requests.
+type Owner = (TargetName, SocketAddr);
+
 /// The idle connections of a node.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
-    idle: Mutex<IndexMap<SocketAddr, Vec<Idle>>>,
-    // When targets last refused a request without naming its id.
-    unidentified: Mutex<IndexMap<SocketAddr, Timestamp>>,
+    idle: Mutex<IndexMap<Owner, Vec<Idle>>>,
 }
 
 impl ConnectionPool {
-    fn lock(&self) -> MutexGuard<'_, IndexMap<SocketAddr, Vec<Idle>>> {
+    fn lock(&self) -> MutexGuard<'_, IndexMap<Owner, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Returns an idle connection or opens one.
-    pub async fn get(&self, address: SocketAddr, reuse: Reuse) -> Result<Connection, ConnectError> {
-        let idle = match reuse {
-            Reuse::Allowed => self.take(address, f64::INFINITY),
-            Reuse::Sound if self.refuses_without_id(address) => None,
-            Reuse::Sound => self.take(address, MAX_FRESH_IDLE_MS),
+    /// Returns an idle connection to a target or opens one.
+    pub async fn get(
+        &self,
+        target: &TargetName,
+        address: SocketAddr,
+        reuse: Reuse,
+    ) -> Result<Connection, ConnectError> {
+        let owner = (target.clone(), address);
+        let max_idle_ms = match reuse {
+            Reuse::Allowed => f64::INFINITY,
+            Reuse::Sound => MAX_FRESH_IDLE_MS,
         };
-        match idle {
+        match self.take(&owner, max_idle_ms) {
             Some(connection) => Ok(connection),
-            None => open(address).await,
+            None => open(owner).await,
         }
     }
 
-    /// Records that a target refused a request without naming its id.
-    pub fn record_unidentified_refusal(&self, address: SocketAddr) {
-        let mut unidentified = self.unidentified.lock().unwrap_or_else(|e| e.into_inner());
-        unidentified.insert(address, clock::now());
-    }
-
-    fn refuses_without_id(&self, address: SocketAddr) -> bool {
-        let unidentified = self.unidentified.lock().unwrap_or_else(|e| e.into_inner());
-        let last = unidentified.get(&address);
-        last.is_some_and(|at| clock::now() - *at < UNIDENTIFIED_REFUSAL_MS)
-    }
-
-    fn take(&self, address: SocketAddr, max_idle_ms: f64) -> Option<Connection> {
+    fn take(&self, owner: &Owner, max_idle_ms: f64) -> Option<Connection> {
         let now = clock::now();
         let mut all = self.lock();
-        let idle = all.get_mut(&address)?;
+        let idle = all.get_mut(owner)?;
         idle.retain(|i| i.until > now && !i.connection.tx.is_closed());
         // The most recently used connection is the least likely to be dead.
         let newest = idle.pop()?;
@@ -182,7 +181,8 @@
         let since = clock::now();
         let until = since + keep_alive_ms;
         let mut all = self.lock();
-        let idle = all.entry(connection.address).or_default();
+        let owner = (connection.target.clone(), connection.address);
+        let idle = all.entry(owner).or_default();
         idle.retain(|i| i.until > since && !i.connection.tx.is_closed());
         if idle.len() >= MAX_IDLE {
             idle.remove(0);
@@ -201,8 +201,6 @@
             idle.retain(|i| i.until > now && !i.connection.tx.is_closed());
             !idle.is_empty()
         });
-        let mut unidentified = self.unidentified.lock().unwrap_or_else(|e| e.into_inner());
-        unidentified.retain(|_, at| now - *at < UNIDENTIFIED_REFUSAL_MS);
     }
 }
 
@@ -226,7 +224,7 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Result<Connection, ConnectError> {
+async fn open((target, address): Owner) -> Result<Connection, ConnectError> {
     let opened = async {
         let tcp = TcpStream::connect(address).await?;
         tcp.set_nodelay(true)?;
@@ -251,6 +249,7 @@
         }
     });
     Ok(Connection {
+        target,
         address,
         tx,
         earlier: 0,
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -73,8 +73,10 @@
     pub receipt: bool,
     /// Whether the target reports that it has not run the request.
     pub not_run: bool,
-    /// Whether the response came from another target than the intended one.
+    /// Whether the response says that the request was meant for another target.
     pub misdirected: bool,
+    /// The target that the response comes from, if it names it.
+    pub instance: Option<CompactString>,
     /// Whether the body has a content encoding; targets never use one.
     pub encoded: bool,
     /// The requests per second that the target takes from all nodes together, if it limits them.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::connection::ConnectionPool;
 use crate::crash_sync::CrashGuard;
 use crate::limits::Limiter;
+use crate::proof::Permit;
 use crate::quota::QuotaStatus;
 use crate::refusal::Refusal;
 use crate::run::ActiveRequest;
@@ -135,7 +136,7 @@
             }
         };
         ActiveRequest::new(self, admitted, parts, body, in_progress)
-            .execute()
+            .execute(Permit::first())
             .await
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::connection::Connection;
 use crate::events::{Event, EventReader, Next};
 use crate::gateway::{Aborted, Body};
+use crate::proof::Permit;
 use crate::run::{ActiveRequest, Attempt, Dispatch};
 use crate::slots::Slot;
 use crate::{Protocol, clock};
@@ -106,11 +107,11 @@
                         sent,
                         born,
                     };
-                    self.request.record_failure(dispatch, &attempt);
+                    let (_, permit) = self.request.record_failure(dispatch, attempt);
                     if self.request.is_expired() {
                         return Ended::TimedOut;
                     }
-                    match self.resume().await {
+                    match self.resume(permit).await {
                         Ok(pair) => (slot, started) = pair,
                         Err(ended) => return ended,
                     }
@@ -119,10 +120,10 @@
         }
     }
 
-    async fn resume(&mut self) -> Result<(Slot, StartedStream), Ended> {
-        while self.request.may_resend() {
+    async fn resume(&mut self, mut permit: Option<Permit>) -> Result<(Slot, StartedStream), Ended> {
+        while let Some(next) = permit {
             let tx = self.tx.clone();
-            let next = self.request.next_attempt(self.last_event);
+            let next = self.request.next_attempt(next, self.last_event);
             let next = tokio::select! {
                 next = next => next,
                 () = tx.closed() => return Err(Ended::CallerGone),
@@ -133,17 +134,14 @@
                 {
                     let (id, status) = (&self.request.admitted.head.id, started.parts.status);
                     info!(event = "distrusted", request:% = id, target:% = dispatch.slot.target, reason = "other status", status = status.as_u16(); "response rejected");
-                    self.request.record_failure(dispatch, &Attempt::Malformed);
+                    (_, permit) = self.request.record_failure(dispatch, Attempt::Malformed);
                 }
                 Ok((dispatch, Attempt::Started(started))) => {
                     info!(event = "resumed", request:% = self.request.admitted.head.id, target:% = dispatch.slot.target, after:? = self.last_event; "stream resumed on another target");
                     return Ok((dispatch.slot, *started));
                 }
                 Ok((dispatch, attempt)) => {
-                    self.request.record_failure(dispatch, &attempt);
-                    if !self.request.may_redispatch(&attempt) {
-                        return Err(Ended::Broken);
-                    }
+                    (_, permit) = self.request.record_failure(dispatch, attempt);
                 }
                 Err(refusal) => {
                     info!(event = "not_resumed", request:% = self.request.admitted.head.id, reason:% = refusal; "stream cannot be resumed");
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,13 +5,14 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, From};
-use http::{Request, Response, Uri, request, response};
+use http::{Request, Response, StatusCode, Uri, request, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use log::{info, warn};
 use rwd_metrics::label;
 use rwd_placement::{LimitReport, Offer, PromptPart, SlotOutcome, Timestamp};
 use rwd_types::TargetName;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -19,13 +20,12 @@
 use crate::buffers::{OverBudget, Reservation};
 use crate::connection::{ConnectError, Connection, Reuse, SendResult};
 use crate::events::{EventReader, Next, StreamError};
-use crate::evidence::{Evidence, Reason};
 use crate::gateway::{Admitted, Body, Gateway, InProgress};
+use crate::proof::{Permit, Proof, Reason, SendInfo, Verdict, verify};
 use crate::refusal::Refusal;
 use crate::relay::{Relay, StartedStream};
 use crate::slots::Slot;
 use crate::stop::Admission;
-use crate::verify::{Proof, Verdict, verify};
 use crate::{Protocol, RetryPolicy, TargetRequestHead, TargetResponseHead, Withheld, clock};
 
 /// Minimum time left for which a request is still dispatched, in milliseconds.
@@ -69,8 +69,8 @@
     unreachable: u32,
     // Slots that were given back because of what their targets' responses said.
     withheld: u32,
-    // Why it counts as not run at the target that it was last sent to.
-    evidence: Option<Evidence>,
+    // Where it has been sent.
+    addresses: Vec<SocketAddr>,
     /// Events of the response that have been relayed.
     pub events: u32,
     /// When the current target began to write its response.
@@ -81,15 +81,15 @@
 /// The outcome of one dispatch.
 pub(crate) enum Attempt {
     /// Nothing was sent.
-    Unreachable,
+    Unreachable(Permit),
     /// Nothing was sent, because nothing listens at the target's address.
-    Down,
+    Down(Permit),
     /// Nothing was sent, because the target is draining.
-    Draining,
+    Draining(Permit),
     /// Nothing was sent, because of what the target's responses said.
-    Withheld(Withheld),
+    Withheld(Withheld, Permit),
     /// The target has not run the request.
-    NotRun(SlotOutcome),
+    NotRun(SlotOutcome, Proof),
     /// A refusal that may not be the response to the request, which may have run.
     Unproved(SlotOutcome),
     /// A complete response.
@@ -135,7 +135,7 @@
             refusals: 0,
             unreachable: 0,
             withheld: 0,
-            evidence: None,
+            addresses: Vec::new(),
             events: 0,
             writing_since: None,
             _in_progress: in_progress,
@@ -147,11 +147,11 @@
     }
 
     /// Dispatches the request until it gets a response, or refuses it.
-    pub async fn execute(mut self) -> Response<Body> {
+    pub async fn execute(mut self, first: Permit) -> Response<Body> {
         let gateway = self.gateway.clone();
         let mut admission = gateway.admission.subscribe();
         let outcome = tokio::select! {
-            outcome = self.dispatch() => outcome,
+            outcome = self.dispatch(first) => outcome,
             // The sender lives as long as the gateway.
             _ = admission.wait_for(|a| *a == Admission::Over) => {
                 self.sends += u32::from(self.in_flight);
@@ -165,10 +165,12 @@
         }
     }
 
-    async fn dispatch(&mut self) -> Outcome {
+    async fn dispatch(&mut self, first: Permit) -> Outcome {
         let mut last_failure = None;
+        let mut permit = first;
         let refusal = loop {
-            let (dispatch, attempt) = match self.next_attempt(self.admitted.head.last_event).await {
+            let last_event = self.admitted.head.last_event;
+            let (dispatch, attempt) = match self.next_attempt(permit, last_event).await {
                 Ok(pair) => pair,
                 Err(refusal) => break refusal,
             };
@@ -183,19 +185,23 @@
                     };
                     self.exclude.push(dispatch.slot.target.clone());
                     dispatch.slot.release(outcome);
-                    if failed && self.may_retry_error() {
-                        last_failure = Some((parts, body));
-                        continue;
+                    let repeat = match failed {
+                        true => self.permit_after_error(),
+                        false => None,
+                    };
+                    match repeat {
+                        Some(next) => {
+                            last_failure = Some((parts, body));
+                            permit = next;
+                        }
+                        None => return Outcome::Complete(parts, body),
                     }
-                    return Outcome::Complete(parts, body);
                 }
                 Attempt::Started(started) => return Outcome::Started(dispatch.slot, started),
-                other => {
-                    let refusal = self.record_failure(dispatch, &other);
-                    if !self.may_redispatch(&other) {
-                        break refusal;
-                    }
-                }
+                other => match self.record_failure(dispatch, other) {
+                    (_, Some(next)) => permit = next,
+                    (refusal, None) => break refusal,
+                },
             }
         };
         match last_failure {
@@ -259,6 +265,7 @@
     /// Acquires a slot and dispatches the request there; a stream resumes after `last_event`.
     pub async fn next_attempt(
         &mut self,
+        permit: Permit,
         last_event: Option<u64>,
     ) -> Result<(Dispatch, Attempt), Refusal> {
         let left_ms = self.left_ms();
@@ -281,11 +288,11 @@
         let mut dispatch = Dispatch { slot, sent, born };
         if let Some(withheld) = self.withheld(&dispatch) {
             info!(event = "withheld", request:% = self.admitted.head.id, target:% = dispatch.slot.target, scheduler:% = dispatch.slot.scheduler, reason:? = withheld; "the scheduler granted a slot of a target that wants no request");
-            return Ok((dispatch, Attempt::Withheld(withheld)));
+            return Ok((dispatch, Attempt::Withheld(withheld, permit)));
         }
         if !self.gateway.replica.is_active(&dispatch.slot.target) {
             info!(event = "left", request:% = self.admitted.head.id, target:% = dispatch.slot.target, scheduler:% = dispatch.slot.scheduler; "the scheduler granted a slot of a draining target");
-            return Ok((dispatch, Attempt::Draining));
+            return Ok((dispatch, Attempt::Draining(permit)));
         }
         if self.arrivals > 0 && !has_budget && !self.gateway.limiter.may_retry(&self.admitted.pool)
         {
@@ -304,7 +311,7 @@
             list_age_ms = self.gateway.replica.targets_age_ms() as u64;
             "dispatching to a target"
         );
-        let attempt = self.send(&mut dispatch, last_event).await;
+        let attempt = self.send(permit, &mut dispatch, last_event).await;
         Ok((dispatch, attempt))
     }
 
@@ -435,55 +442,67 @@
         }
     }
 
-    async fn send(&mut self, dispatch: &mut Dispatch, last_event: Option<u64>) -> Attempt {
+    async fn send(
+        &mut self,
+        mut permit: Permit,
+        dispatch: &mut Dispatch,
+        last_event: Option<u64>,
+    ) -> Attempt {
         let reuse = match self.may_repeat() {
             true => Reuse::Allowed,
             false => Reuse::Sound,
         };
-        let address = dispatch.slot.address;
+        let (target, address) = (dispatch.slot.target.clone(), dispatch.slot.address);
         loop {
-            let connection = self.gateway.connections.get(address, reuse).await;
+            let connection = self.gateway.connections.get(&target, address, reuse).await;
             let mut connection = match connection {
                 Ok(connection) => connection,
                 Err(e) => {
-                    info!(event = "unreachable", request:% = self.admitted.head.id, target:% = dispatch.slot.target, error:% = e; "cannot connect to the target");
+                    info!(event = "unreachable", request:% = self.admitted.head.id, target:% = target, error:% = e; "cannot connect to the target");
                     return match e {
-                        ConnectError::Timeout => Attempt::Unreachable,
-                        ConnectError::Refused => Attempt::Down,
+                        ConnectError::Timeout => Attempt::Unreachable(permit),
+                        ConnectError::Refused => Attempt::Down(permit),
                     };
                 }
             };
             let left_ms = self.left_ms();
             if left_ms < MIN_DISPATCH_MS {
-                return Attempt::Unreachable;
+                return Attempt::Unreachable(permit);
             }
             let req = self.target_request(&dispatch.slot, left_ms, last_event);
-            self.record_second_send(&dispatch.slot.target);
-            dispatch.sent = clock::now();
+            self.record_second_send(&permit, &target);
+            let same_address = self.addresses.contains(&address);
+            let send = connection.begin_send(&self.admitted.head.id, same_address);
+            dispatch.sent = send.at;
             self.in_flight = true;
             let limit = self.first_byte_timeout(&dispatch.slot, left_ms);
-            let target = dispatch.slot.target.clone();
-            let sent = self.wait_or_fail_over(connection.send(req), limit, &target);
+            let sent = self.wait_or_fail_over(connection.send(req, permit, &send), limit, &target);
             match sent.await {
                 // The connection was closed while it was idle; another one is tried.
-                Some(SendResult::NotSent) if connection.is_reused() => {
-                    info!(event = "not_sent", request:% = self.admitted.head.id, target:% = dispatch.slot.target, idle_ms = connection.idle_ms as u64; "an idle connection had been closed; nothing was sent on it");
-                    self.evidence =
-                        Some(connection.evidence(&target, Reason::NotSent, dispatch.sent));
+                Some(SendResult::NotSent(proof)) if connection.is_reused() => {
+                    info!(event = "not_sent", request:% = self.admitted.head.id, target:% = target, idle_ms = connection.idle_ms as u64; "an idle connection had been closed; nothing was sent on it");
+                    permit = Permit::after(proof);
                     continue;
                 }
-                Some(SendResult::NotSent) => return Attempt::Unreachable,
+                Some(SendResult::NotSent(proof)) => {
+                    return Attempt::Unreachable(Permit::after(proof));
+                }
                 Some(SendResult::Response(response)) => {
+                    self.addresses.push(address);
                     let limit = limit.saturating_sub(elapsed(dispatch.sent));
                     let reading =
-                        self.read_response(response, connection, limit, dispatch, last_event);
+                        self.read_response(response, connection, limit, dispatch, send, last_event);
                     return reading.await;
                 }
                 Some(SendResult::Broken(e)) => {
-                    info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.is_reused(), error:% = e; "connection broke before a response");
+                    self.addresses.push(address);
+                    info!(event = "broken", request:% = self.admitted.head.id, target:% = target, reused = connection.is_reused(), error:% = e; "connection broke before a response");
                     return Attempt::Broken;
                 }
-                None => return Attempt::Unresponsive,
+                None => {
+                    self.addresses.push(address);
+                    return Attempt::Unresponsive;
+                }
             }
         }
     }
@@ -526,21 +545,22 @@
         connection: Connection,
         limit: Duration,
         dispatch: &mut Dispatch,
+        send: SendInfo,
         last_event: Option<u64>,
     ) -> Attempt {
         let (parts, body) = response.into_parts();
         let head = self.gateway.protocol.read_response(&parts);
         let id = &self.admitted.head.id;
-        let refusal = match verify(&head, parts.status, id, !connection.is_reused()) {
+        let refusal = match verify(&head, parts.status, &send) {
             Verdict::Rejected(reason) => {
                 info!(event = "distrusted", request:% = id, target:% = dispatch.slot.target, reason, status = parts.status.as_u16(); "response rejected");
                 return Attempt::Malformed;
             }
             Verdict::Refused(outcome, proof) => {
-                self.record_refusal(&head, proof, &parts, &connection, dispatch);
+                self.record_refusal(&head, parts.status, &send, proof.is_some());
                 Some(match proof {
-                    Proof::Id | Proof::FirstResponse => Attempt::NotRun(outcome),
-                    Proof::None => Attempt::Unproved(outcome),
+                    Some(proof) => Attempt::NotRun(outcome, proof),
+                    None => Attempt::Unproved(outcome),
                 })
             }
             Verdict::Accepted => None,
@@ -579,9 +599,9 @@
         let collected = self.wait_or_fail_over(collected, limit, &dispatch.slot.target);
         match collected.await {
             Some(Ok(body)) => {
-                // Without an id, a late copy of this refusal would pass for the response to the next
-                // request on the connection.
-                if head.id.is_some() {
+                // A copy of a refusal without an id may follow, and after 421 the connection leads to
+                // another target.
+                if head.id.is_some() && !head.misdirected {
                     self.gateway.connections.release(connection, &parts.headers);
                 }
                 refusal.unwrap_or(Attempt::Complete(parts, body))
@@ -610,63 +630,50 @@
 
     // Logs that a request that may run once is sent again, and why it counts as not run. Nothing else
     // would explain a request that ran twice, so this is a warning, which survives a crash.
-    fn record_second_send(&mut self, target: &TargetName) {
-        let Some(before) = self.evidence.take() else {
+    fn record_second_send(&self, permit: &Permit, target: &TargetName) {
+        let Some(proof) = permit.proof().filter(|_| !self.may_repeat()) else {
             return;
         };
-        if self.may_repeat() {
-            return;
-        }
-        let (status, has_id, not_run) = match before.reason {
-            Reason::NotSent => (0, false, false),
-            Reason::Refused {
-                status,
-                has_id,
-                not_run,
-            } => (status, has_id, not_run),
+        let (status, not_run) = match proof.reason() {
+            Reason::NotSent => (0, false),
+            Reason::Refused { status, not_run } => (status.as_u16(), not_run),
         };
+        let before = proof.send();
         warn!(
             event = "second_send", request:% = self.admitted.head.id, target:%, before:% = before.target,
-            proof:% = before.reason, status, has_id, not_run, earlier = before.earlier,
-            idle_ms = before.idle_ms, age_ms = before.age_ms, after_ms = before.after_ms,
+            proof:% = proof.reason(), status, not_run, earlier = before.earlier,
+            idle_ms = before.idle_ms as u64, age_ms = (before.at - before.opened) as u64,
+            after_ms = proof.after_ms() as u64,
             route:% = self.admitted.route.name, retry:? = self.admitted.route.retry,
             config = self.admitted.catalog.version;
             "sending a request that may run once again, as it has not run"
         );
-        let labels = [label("proof", before.reason)];
+        let labels = [label("proof", proof.reason())];
         self.gateway.metrics.second_sends.add(1, &labels);
     }
 
     // Records a response that says that the request has not run, with what speaks for and against it.
     fn record_refusal(
-        &mut self,
+        &self,
         head: &TargetResponseHead,
-        proof: Proof,
-        parts: &response::Parts,
-        connection: &Connection,
-        dispatch: &Dispatch,
+        status: StatusCode,
+        send: &SendInfo,
+        is_proof: bool,
     ) {
-        if proof != Proof::Id {
-            let connections = &self.gateway.connections;
-            connections.record_unidentified_refusal(dispatch.slot.address);
-        }
         info!(
-            event = "refused_by_target", request:% = self.admitted.head.id,
-            target:% = dispatch.slot.target, status = parts.status.as_u16(), has_id = head.id.is_some(),
-            receipt = head.receipt, earlier = connection.earlier,
-            idle_ms = connection.idle_ms as u64, ms = (clock::now() - dispatch.sent) as u64,
-            may_repeat = self.may_repeat();
+            event = "refused_by_target", request:% = send.id, target:% = send.target,
+            status = status.as_u16(), has_id = head.id.is_some(), not_run = head.not_run,
+            receipt = head.receipt, same_address = send.same_address, earlier = send.earlier,
+            idle_ms = send.idle_ms as u64, ms = (clock::now() - send.at) as u64,
+            may_repeat = self.may_repeat(), is_proof;
             "the target says that it has not run the request"
         );
+        let proof = match is_proof {
+            true => "id",
+            false => "none",
+        };
         let labels = [label("proof", proof)];
         self.gateway.metrics.refused_by_targets.add(1, &labels);
-        let reason = Reason::Refused {
-            status: parts.status.as_u16(),
-            has_id: head.id.is_some(),
-            not_run: head.not_run,
-        };
-        let target = &dispatch.slot.target;
-        self.evidence = Some(connection.evidence(target, reason, dispatch.sent));
     }
 
     // Records the request limit that the target names in its response.
@@ -731,11 +738,16 @@
         first
     }
 
-    /// Records a failed attempt and returns the refusal that the caller would get for it.
-    pub fn record_failure(&mut self, dispatch: Dispatch, attempt: &Attempt) -> Refusal {
+    /// Records a failed attempt; returns the refusal that the caller would get for it, and a permit for
+    /// another attempt.
+    pub fn record_failure(
+        &mut self,
+        dispatch: Dispatch,
+        attempt: Attempt,
+    ) -> (Refusal, Option<Permit>) {
         // A hold may end while the request waits.
-        let returns = match attempt {
-            Attempt::Withheld(Withheld::Held { left_ms }) => *left_ms < self.left_ms(),
+        let returns = match &attempt {
+            Attempt::Withheld(Withheld::Held { left_ms }, _) => *left_ms < self.left_ms(),
             _ => false,
         };
         if !returns {
@@ -743,52 +755,51 @@
         }
         self.in_flight = false;
         let ms = clock::now() - dispatch.sent;
-        let (outcome, refusal, what) = match attempt {
-            Attempt::Unreachable => {
-                self.unreachable += 1;
-                (SlotOutcome::Unreachable, Refusal::NotRun, "unreachable")
+        let (outcome, refusal, what, permit) = match attempt {
+            Attempt::Unreachable(permit) => {
+                let permit = self.permit_after_unreachable(permit);
+                let outcome = SlotOutcome::Unreachable;
+                (outcome, Refusal::NotRun, "unreachable", permit)
             }
-            Attempt::Down => {
-                self.unreachable += 1;
-                (SlotOutcome::Down, Refusal::NotRun, "down")
+            Attempt::Down(permit) => {
+                let permit = self.permit_after_unreachable(permit);
+                (SlotOutcome::Down, Refusal::NotRun, "down", permit)
             }
-            Attempt::Draining => {
-                self.unreachable += 1;
-                (SlotOutcome::Gone, Refusal::NotRun, "left")
+            Attempt::Draining(permit) => {
+                let permit = self.permit_after_unreachable(permit);
+                (SlotOutcome::Gone, Refusal::NotRun, "left", permit)
             }
-            Attempt::Withheld(withheld) => {
+            Attempt::Withheld(withheld, permit) => {
                 self.withheld += 1;
-                let outcome = match *withheld {
+                let outcome = match withheld {
                     Withheld::Leaving => SlotOutcome::Leaving,
                     Withheld::Held { left_ms } => SlotOutcome::Held { for_ms: left_ms },
                 };
-                (outcome, Refusal::NotRun, "withheld")
+                let permit = Some(permit).filter(|_| self.withheld < MAX_WITHHELD);
+                (outcome, Refusal::NotRun, "withheld", permit)
             }
-            Attempt::NotRun(outcome) => {
+            Attempt::NotRun(outcome, proof) => {
                 self.arrivals += 1;
                 self.refusals += 1;
-                (*outcome, Refusal::NotRun, "not_run")
+                let permit = (self.refusals < MAX_REFUSALS).then(|| Permit::after(proof));
+                (outcome, Refusal::NotRun, "not_run", permit)
             }
             Attempt::Unproved(outcome) => {
-                self.arrivals += 1;
-                self.sends += 1;
-                (*outcome, Refusal::Unknown, "unproved")
+                let permit = self.permit_after_run();
+                (outcome, Refusal::Unknown, "unproved", permit)
             }
             Attempt::Unresponsive => {
-                self.arrivals += 1;
-                self.sends += 1;
-                (SlotOutcome::Silent, Refusal::Timeout, "silent")
+                let permit = self.permit_after_run();
+                (SlotOutcome::Silent, Refusal::Timeout, "silent", permit)
             }
             Attempt::Malformed => {
-                self.arrivals += 1;
-                self.sends += 1;
-                (SlotOutcome::Broken, Refusal::Unknown, "malformed")
+                let permit = self.permit_after_run();
+                (SlotOutcome::Broken, Refusal::Unknown, "malformed", permit)
             }
-            _ => {
-                self.arrivals += 1;
-                self.sends += 1;
+            Attempt::Broken | Attempt::Complete(..) | Attempt::Started(_) => {
+                let permit = self.permit_after_run();
                 self.record_crash(&dispatch);
-                (SlotOutcome::Broken, Refusal::Unknown, "broken")
+                (SlotOutcome::Broken, Refusal::Unknown, "broken", permit)
             }
         };
         self.gateway
@@ -797,19 +808,20 @@
             .add(1, &[label("kind", what)]);
         info!(event = "send_failed", request:% = self.admitted.head.id, target:% = dispatch.slot.target, scheduler:% = dispatch.slot.scheduler, what, ms = ms as u64, events = self.events, parts:% = part_ids(&self.admitted.head.parts); "send failed");
         dispatch.slot.release(outcome);
-        refusal
+        (refusal, permit)
     }
 
-    /// Whether the request may be dispatched again after a failed attempt.
-    pub fn may_redispatch(&self, attempt: &Attempt) -> bool {
-        match attempt {
-            Attempt::Unreachable | Attempt::Down | Attempt::Draining => {
-                self.unreachable < MAX_UNREACHABLE
-            }
-            Attempt::Withheld(_) => self.withheld < MAX_WITHHELD,
-            Attempt::NotRun(_) => self.refusals < MAX_REFUSALS,
-            _ => self.may_resend(),
-        }
+    // Nothing was sent, so the permit for that still holds, unless too many targets were tried.
+    fn permit_after_unreachable(&mut self, permit: Permit) -> Option<Permit> {
+        self.unreachable += 1;
+        Some(permit).filter(|_| self.unreachable < MAX_UNREACHABLE)
+    }
+
+    // Counts a send after which the request may have run.
+    fn permit_after_run(&mut self) -> Option<Permit> {
+        self.arrivals += 1;
+        self.sends += 1;
+        Permit::repeat(&self.admitted.route, self.sends)
     }
 
     // Whether the request may run more than once.
@@ -817,17 +829,10 @@
         self.admitted.route.retry != RetryPolicy::Never
     }
 
-    /// Whether a request that may have run may be sent again.
-    pub fn may_resend(&self) -> bool {
-        self.may_repeat() && self.sends < self.admitted.route.attempts
-    }
-
-    // Counts a complete response that is a server error; whether the request may be sent again.
-    fn may_retry_error(&mut self) -> bool {
+    // Counts a complete response that is a server error.
+    fn permit_after_error(&mut self) -> Option<Permit> {
         self.in_flight = false;
-        self.arrivals += 1;
-        self.sends += 1;
-        self.may_resend()
+        self.permit_after_run()
     }
 
     /// How long a stream in progress may be idle before the request may fail over.
