Split reading of responses and failed attempts from the course of a request

No change of behaviour. run.rs had grown to 895 lines; receive.rs reads responses and records what they say about their targets, failure.rs decides after a failed attempt whether the request is sent again. With it the series of what targets do (target_series.rs).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,40 +3,32 @@
 //! A request counts as sent from just before its first byte goes to a target. From then on, the
 //! gateway reports it as not run only if the target itself has reported that.
 
-use bytes::{Bytes, BytesMut};
-use derive_more::{Display, From};
-use http::{Request, Response, StatusCode, Uri, request, response};
+mod failure;
+mod receive;
+
+use bytes::Bytes;
+use http::{Request, Response, Uri, request, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use log::{info, warn};
 use rwd_metrics::label;
-use rwd_placement::{LimitReport, Offer, PromptPart, SlotOutcome, Timestamp};
+use rwd_placement::{Offer, SlotOutcome, Timestamp};
 use rwd_types::TargetName;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
-use crate::buffers::{OverBudget, Reservation};
-use crate::connection::{ConnectError, Connection, Reuse, SendResult};
-use crate::events::{EventReader, Next, StreamError};
+use crate::connection::{ConnectError, Reuse, SendResult};
 use crate::gateway::{Admitted, Body, Gateway, InProgress};
-use crate::proof::{Permit, Proof, Reason, SendInfo, Verdict, verify};
+use crate::proof::{Permit, Proof, Reason};
 use crate::refusal::Refusal;
 use crate::relay::{Relay, StartedStream};
 use crate::slots::Slot;
 use crate::stop::Admission;
-use crate::{Protocol, RetryPolicy, TargetRequestHead, TargetResponseHead, Withheld, clock};
+use crate::{Protocol, RetryPolicy, TargetRequestHead, Withheld, clock};
 
 /// Minimum time left for which a request is still dispatched, in milliseconds.
 const MIN_DISPATCH_MS: f64 = 25.0;
-/// Number of refusals by targets after which the gateway gives up on a request.
-const MAX_REFUSALS: u32 = 3;
-/// Number of unreachable targets after which the gateway gives up on a request.
-const MAX_UNREACHABLE: u32 = 5;
-/// Number of slots given back unused after which the gateway gives up on a request. A scheduler that
-/// takes over learns of each such target from the first slot that is given back.
-const MAX_WITHHELD: u32 = 100;
 /// First-byte timeout of a target, as a multiple of the expected time to first byte.
 const FIRST_BYTE_TIMEOUT_FACTOR: f64 = 3.0;
 /// Minimum first-byte timeout, in milliseconds.
@@ -46,10 +38,6 @@
 /// Idle timeout of a stream in progress, in milliseconds.
 const STREAM_IDLE_TIMEOUT_MS: f64 = 1600.0;
 
-/// Time after a target began to write within which a crash may be due to the request, in
-/// milliseconds.
-const MAX_CRASHING_MS: f64 = 1000.0;
-
 /// A request in progress.
 pub(crate) struct ActiveRequest<P> {
     pub gateway: Arc<Gateway<P>>,
@@ -335,17 +323,6 @@
         self.gateway.crash_guard.record_complete(parts, sent);
     }
 
-    // A target that has been writing for long was not crashed by this request.
-    fn record_crash(&self, dispatch: &Dispatch) {
-        let head = &self.admitted.head;
-        let wrote_ms = self.writing_since.map_or(0.0, |since| clock::now() - since);
-        if wrote_ms < MAX_CRASHING_MS && head.parts.len() > 1 {
-            let (target, sent) = (&dispatch.slot.target, dispatch.sent);
-            let guard = &self.gateway.crash_guard;
-            guard.record_crash(target, &head.id, &head.parts, sent);
-        }
-    }
-
     async fn acquire_slot(&self, left_ms: f64) -> Result<Slot, Refusal> {
         let slot = self.gateway.slots.acquire(self.offer());
         let limit = Duration::from_secs_f64(left_ms / 1000.0);
@@ -539,95 +516,6 @@
         req
     }
 
-    async fn read_response(
-        &mut self,
-        response: Response<Incoming>,
-        connection: Connection,
-        limit: Duration,
-        dispatch: &mut Dispatch,
-        send: SendInfo,
-        last_event: Option<u64>,
-    ) -> Attempt {
-        let (parts, body) = response.into_parts();
-        let head = self.gateway.protocol.read_response(&parts);
-        let id = &self.admitted.head.id;
-        let refusal = match verify(&head, parts.status, &send) {
-            Verdict::Rejected(reason) => {
-                info!(event = "distrusted", request:% = id, target:% = dispatch.slot.target, reason, status = parts.status.as_u16(); "response rejected");
-                return Attempt::Malformed;
-            }
-            Verdict::Refused(outcome, proof) => {
-                self.record_refusal(&head, parts.status, &send, proof.is_some());
-                Some(match proof {
-                    Some(proof) => Attempt::NotRun(outcome, proof),
-                    None => Attempt::Unproved(outcome),
-                })
-            }
-            Verdict::Accepted => None,
-        };
-        if !head.misdirected {
-            self.record_limit(&head, dispatch);
-            self.record_withheld(&head, dispatch);
-        }
-        if self.admitted.route.streams && parts.status.is_success() {
-            let mut reader =
-                EventReader::new(&parts, body, last_event, self.gateway.buffers.reserve());
-            let target = &dispatch.slot.target;
-            let next = self.wait_or_fail_over(reader.next(), limit, target).await;
-            return match next {
-                Some(Next::Event(first)) => Attempt::Started(Box::new(StartedStream {
-                    parts,
-                    reader,
-                    connection,
-                    first: Some(first),
-                    sent: dispatch.sent,
-                    born: dispatch.born,
-                })),
-                Some(Next::End) => Attempt::Started(Box::new(StartedStream {
-                    parts,
-                    reader,
-                    connection,
-                    first: None,
-                    sent: dispatch.sent,
-                    born: dispatch.born,
-                })),
-                Some(Next::Broken(e)) => self.broken_stream(&dispatch.slot.target, &e),
-                None => Attempt::Unresponsive,
-            };
-        }
-        let collected = collect(body, self.gateway.buffers.reserve());
-        let collected = self.wait_or_fail_over(collected, limit, &dispatch.slot.target);
-        match collected.await {
-            Some(Ok(body)) => {
-                // A copy of a refusal without an id may follow, and after 421 the connection leads to
-                // another target.
-                if head.id.is_some() && !head.misdirected {
-                    self.gateway.connections.release(connection, &parts.headers);
-                }
-                refusal.unwrap_or(Attempt::Complete(parts, body))
-            }
-            Some(Err(e)) => {
-                info!(event = "broken", request:% = self.admitted.head.id, target:% = dispatch.slot.target, reused = connection.is_reused(), error:% = e; "cannot read the response");
-                refusal.unwrap_or(match e {
-                    CollectError::Connection(_) => Attempt::Broken,
-                    CollectError::TooLarge(_) => Attempt::Malformed,
-                })
-            }
-            None => Attempt::Unresponsive,
-        }
-    }
-
-    /// Logs why a target's stream broke.
-    pub fn broken_stream(&self, target: &TargetName, e: &StreamError) -> Attempt {
-        info!(event = "broken_stream", request:% = self.admitted.head.id, target:% = target, events = self.events, error:% = e; "a target's stream broke");
-        match e {
-            StreamError::Malformed(_) | StreamError::TooLarge(_) => Attempt::Malformed,
-            StreamError::Truncated | StreamError::Empty | StreamError::Connection(_) => {
-                Attempt::Broken
-            }
-        }
-    }
-
     // Logs that a request that may run once is sent again, and why it counts as not run. Nothing else
     // would explain a request that ran twice, so this is a warning, which survives a crash.
     fn record_second_send(&self, permit: &Permit, target: &TargetName) {
@@ -652,76 +540,6 @@
         self.gateway.metrics.second_sends.add(1, &labels);
     }
 
-    // Records a response that says that the request has not run, with what speaks for and against it.
-    fn record_refusal(
-        &self,
-        head: &TargetResponseHead,
-        status: StatusCode,
-        send: &SendInfo,
-        is_proof: bool,
-    ) {
-        info!(
-            event = "refused_by_target", request:% = send.id, target:% = send.target,
-            status = status.as_u16(), has_id = head.id.is_some(), not_run = head.not_run,
-            receipt = head.receipt, same_address = send.same_address, earlier = send.earlier,
-            idle_ms = send.idle_ms as u64, ms = (clock::now() - send.at) as u64,
-            may_repeat = self.may_repeat(), is_proof;
-            "the target says that it has not run the request"
-        );
-        let proof = match is_proof {
-            true => "id",
-            false => "none",
-        };
-        let labels = [label("proof", proof)];
-        self.gateway.metrics.refused_by_targets.add(1, &labels);
-    }
-
-    // Records the request limit that the target names in its response.
-    fn record_limit(&self, head: &TargetResponseHead, dispatch: &mut Dispatch) {
-        let (id, target) = (&self.admitted.head.id, dispatch.slot.target.clone());
-        let limit = match &head.limit {
-            None => LimitReport::Unlimited,
-            Some(Ok(limit)) => LimitReport::Limited {
-                limit: *limit,
-                after_ms: clock::now() - dispatch.sent,
-            },
-            Some(Err(e)) => {
-                info!(event = "bad_limit", request:% = id, target:% = target, error:% = e; "the target names a limit that is not a number");
-                LimitReport::Unknown
-            }
-        };
-        let slots = &self.gateway.slots;
-        if slots.record_limit(&mut dispatch.slot, limit, dispatch.sent) {
-            let kind = match limit {
-                LimitReport::Limited { .. } => "named",
-                _ => "ended",
-            };
-            info!(event = "limit_changed", request:% = id, target:% = target, scheduler:% = dispatch.slot.scheduler, kind, limit:? = limit; "the response changes the target's request limit");
-            let labels = [label("kind", kind)];
-            self.gateway.metrics.limits_changed.add(1, &labels);
-        }
-    }
-
-    // Records that the target leaves, or wants no request from this node for a while.
-    fn record_withheld(&self, head: &TargetResponseHead, dispatch: &Dispatch) {
-        let (id, target) = (&self.admitted.head.id, &dispatch.slot.target);
-        for bad in &head.bad_headers {
-            info!(event = "bad_header", request:% = id, target:% = target, error:% = bad; "a header of the response is ignored");
-        }
-        let withheld = &self.gateway.withheld;
-        if head.leaving && withheld.record_leaving(target, dispatch.born) {
-            info!(event = "target_leaving", request:% = id, target:% = target, born = dispatch.born, list_age_ms = self.gateway.replica.targets_age_ms() as u64; "the response says that its target leaves");
-            let labels = [label("reason", "leaving")];
-            self.gateway.metrics.targets_withheld.add(1, &labels);
-        }
-        if let Some(hold_ms) = head.hold_ms {
-            let left_ms = withheld.record_hold(target, hold_ms, clock::now());
-            info!(event = "hold", request:% = id, target:% = target, named_ms = hold_ms as u64, left_ms = left_ms as u64; "the target wants no request for a while");
-            let labels = [label("reason", "held")];
-            self.gateway.metrics.targets_withheld.add(1, &labels);
-        }
-    }
-
     // Time until the first target of the request's pool may get requests from this node again, if none
     // may now.
     fn held_ms(&self) -> Option<f64> {
@@ -738,103 +556,11 @@
         first
     }
 
-    /// Records a failed attempt; returns the refusal that the caller would get for it, and a permit for
-    /// another attempt.
-    pub fn record_failure(
-        &mut self,
-        dispatch: Dispatch,
-        attempt: Attempt,
-    ) -> (Refusal, Option<Permit>) {
-        // A hold may end while the request waits.
-        let returns = match &attempt {
-            Attempt::Withheld(Withheld::Held { left_ms }, _) => *left_ms < self.left_ms(),
-            _ => false,
-        };
-        if !returns {
-            self.exclude.push(dispatch.slot.target.clone());
-        }
-        self.in_flight = false;
-        let ms = clock::now() - dispatch.sent;
-        let (outcome, refusal, what, permit) = match attempt {
-            Attempt::Unreachable(permit) => {
-                let permit = self.permit_after_unreachable(permit);
-                let outcome = SlotOutcome::Unreachable;
-                (outcome, Refusal::NotRun, "unreachable", permit)
-            }
-            Attempt::Down(permit) => {
-                let permit = self.permit_after_unreachable(permit);
-                (SlotOutcome::Down, Refusal::NotRun, "down", permit)
-            }
-            Attempt::Draining(permit) => {
-                let permit = self.permit_after_unreachable(permit);
-                (SlotOutcome::Gone, Refusal::NotRun, "left", permit)
-            }
-            Attempt::Withheld(withheld, permit) => {
-                self.withheld += 1;
-                let outcome = match withheld {
-                    Withheld::Leaving => SlotOutcome::Leaving,
-                    Withheld::Held { left_ms } => SlotOutcome::Held { for_ms: left_ms },
-                };
-                let permit = Some(permit).filter(|_| self.withheld < MAX_WITHHELD);
-                (outcome, Refusal::NotRun, "withheld", permit)
-            }
-            Attempt::NotRun(outcome, proof) => {
-                self.arrivals += 1;
-                self.refusals += 1;
-                let permit = (self.refusals < MAX_REFUSALS).then(|| Permit::after(proof));
-                (outcome, Refusal::NotRun, "not_run", permit)
-            }
-            Attempt::Unproved(outcome) => {
-                let permit = self.permit_after_run();
-                (outcome, Refusal::Unknown, "unproved", permit)
-            }
-            Attempt::Unresponsive => {
-                let permit = self.permit_after_run();
-                (SlotOutcome::Silent, Refusal::Timeout, "silent", permit)
-            }
-            Attempt::Malformed => {
-                let permit = self.permit_after_run();
-                (SlotOutcome::Broken, Refusal::Unknown, "malformed", permit)
-            }
-            Attempt::Broken | Attempt::Complete(..) | Attempt::Started(_) => {
-                let permit = self.permit_after_run();
-                self.record_crash(&dispatch);
-                (SlotOutcome::Broken, Refusal::Unknown, "broken", permit)
-            }
-        };
-        self.gateway
-            .metrics
-            .sends_failed
-            .add(1, &[label("kind", what)]);
-        info!(event = "send_failed", request:% = self.admitted.head.id, target:% = dispatch.slot.target, scheduler:% = dispatch.slot.scheduler, what, ms = ms as u64, events = self.events, parts:% = part_ids(&self.admitted.head.parts); "send failed");
-        dispatch.slot.release(outcome);
-        (refusal, permit)
-    }
-
-    // Nothing was sent, so the permit for that still holds, unless too many targets were tried.
-    fn permit_after_unreachable(&mut self, permit: Permit) -> Option<Permit> {
-        self.unreachable += 1;
-        Some(permit).filter(|_| self.unreachable < MAX_UNREACHABLE)
-    }
-
-    // Counts a send after which the request may have run.
-    fn permit_after_run(&mut self) -> Option<Permit> {
-        self.arrivals += 1;
-        self.sends += 1;
-        Permit::repeat(&self.admitted.route, self.sends)
-    }
-
     // Whether the request may run more than once.
     fn may_repeat(&self) -> bool {
         self.admitted.route.retry != RetryPolicy::Never
     }
 
-    // Counts a complete response that is a server error.
-    fn permit_after_error(&mut self) -> Option<Permit> {
-        self.in_flight = false;
-        self.permit_after_run()
-    }
-
     /// How long a stream in progress may be idle before the request may fail over.
     pub fn stream_idle_timeout(&self) -> Duration {
         let ms = STREAM_IDLE_TIMEOUT_MS.min(self.left_ms()).max(1.0);
@@ -846,30 +572,6 @@
     }
 }
 
-/// Why a response's body cannot be read.
-#[derive(Debug, Display, From)]
-enum CollectError {
-    /// The connection failed.
-    Connection(hyper::Error),
-    /// The node may not buffer it.
-    TooLarge(OverBudget),
-}
-
-// Reads a body to its end. The reservation lasts as long as the bytes.
-async fn collect(
-    mut body: Incoming,
-    mut reservation: Reservation,
-) -> std::result::Result<Bytes, CollectError> {
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            reservation.resize(buf.len() + data.len())?;
-            buf.extend_from_slice(&data);
-        }
-    }
-    Ok(reservation.attach(buf))
-}
-
 /// A slot and when the request was sent to its target.
 pub(crate) struct Dispatch {
     pub slot: Slot,
@@ -878,12 +580,6 @@
     pub born: u64,
 }
 
-// The ids of a prompt's parts, for logs.
-fn part_ids(parts: &[PromptPart]) -> String {
-    let ids: Vec<_> = parts.iter().map(|p| format!("{:x}", p.id)).collect();
-    ids.join(",")
-}
-
 fn elapsed(since: Timestamp) -> Duration {
     Duration::from_secs_f64((clock::now() - since).max(0.0) / 1000.0)
 }
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -15,5 +15,6 @@
 mod store;
 mod stray_bytes;
 mod target_limits;
+mod target_series;
 mod unsafe_requests;
 mod withheld_targets;
