Play restarts at the same address, crashes and repeated refusals in the soak

Targets crash, are started again under another name at the same address while their old entries stay, refuse with the id of the request, and write refusals once more on the same or the next connection.

--- a/crates/core/tests/soak/cluster.rs
+++ b/crates/core/tests/soak/cluster.rs
@@ -8,6 +8,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{ExitStatus, Stdio};
+use std::sync::MutexGuard;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
@@ -41,6 +42,8 @@
     sequence: AtomicU64,
     // Start time of each target's process, as it is listed.
     born: Vec<AtomicU64>,
+    // The names under which each target has been started, the present one last.
+    names: std::sync::Mutex<Vec<Vec<String>>>,
     version: AtomicU64,
 }
 
@@ -64,6 +67,7 @@
             nodes: Vec::new(),
             sequence: AtomicU64::new(1),
             born: Vec::new(),
+            names: Default::default(),
             version: AtomicU64::new(0),
         };
         for n in 0..DESK_TARGETS + MODEL_TARGETS {
@@ -74,6 +78,7 @@
             cluster.relays.push(relay.unwrap());
             cluster.targets.push(target);
             cluster.born.push(AtomicU64::new(1));
+            cluster.names().push(vec![format!("target-{n}")]);
             cluster.list_target(n, "ready");
         }
         cluster.change_config();
@@ -120,22 +125,45 @@
         target < DESK_TARGETS
     }
 
+    fn names(&self) -> MutexGuard<'_, Vec<Vec<String>>> {
+        self.names.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     pub fn list_target(&self, n: usize, state: &str) {
+        let name = self.names()[n].last().cloned().unwrap_or_default();
+        self.list(n, &name, state, self.born[n].load(Ordering::Relaxed));
+    }
+
+    fn list(&self, n: usize, name: &str, state: &str, born: u64) {
         let service = if Self::is_desk(n) { "desk" } else { "model" };
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         let record = server_record(service, self.relays[n].address(), state, sequence);
         let mut record: serde_json::Value = serde_json::from_str(&record).unwrap();
-        record["born"] = self.born[n].load(Ordering::Relaxed).into();
+        record["born"] = born.into();
         let record = record.to_string();
-        self.store
-            .put("keyed.servers", self.targets[n].name(), Some(&record));
+        self.store.put("keyed.servers", name, Some(&record));
     }
 
     /// Lists a target at the address of target `n`, as one that has ended there and is still listed.
     pub fn list_predecessor(&self, n: usize, name: &str) {
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
-        let record = server_record("desk", self.relays[n].address(), "ready", sequence);
-        self.store.put("keyed.servers", name, Some(&record));
+        self.list(n, name, "ready", 1);
+    }
+
+    /// Ends a target and starts it under another name at the same address. Its entry stays, and that of
+    /// the one before it is removed.
+    pub fn restart_renamed(&self, n: usize) {
+        let (name, expired) = {
+            let mut names = self.names();
+            let name = format!("target-{n}-{}", names[n].len());
+            names[n].push(name.clone());
+            (name, names[n].iter().rev().nth(2).cloned())
+        };
+        self.targets[n].crash();
+        self.targets[n].accept_only(&name);
+        if let Some(expired) = expired {
+            self.store.put("keyed.servers", &expired, None);
+        }
+        self.list_target(n, "ready");
     }
 
     /// Lists a target as one that has been started again.
--- a/crates/core/tests/soak/logs.rs
+++ b/crates/core/tests/soak/logs.rs
@@ -2,13 +2,12 @@
 
 use crate::cluster::TestCluster;
 use crate::records::{Kind, Records};
+use crate::refusals::FULL_WITH_ID;
 use rwd_lab::site::Behaviour;
 use tokio::io::AsyncReadExt;
 
 /// Requests whose log lines fill a pipe and the queue behind it.
 const LOAD: usize = 2000;
-/// The refusal of a full target.
-const FULL: &str = "503 Service Unavailable\r\nRequest-Id: ID\r\nNot-Run: 1";
 
 async fn await_serving(cluster: &TestCluster, records: &Records) {
     while !records.call(cluster, 0, Kind::Unsafe, "first").await {
@@ -36,7 +35,7 @@
         ids.collect::<Vec<_>>()
     };
     // The one that gets the request refuses it, and the other one runs it.
-    cluster.targets[0].script(&[Behaviour::Refuse(FULL)]);
+    cluster.targets[0].script(&[Behaviour::Refuse(FULL_WITH_ID)]);
     while refused().is_empty() {
         assert!(records.call(&cluster, 0, Kind::Unsafe, "twice").await);
     }
--- a/crates/core/tests/soak/main.rs
+++ b/crates/core/tests/soak/main.rs
@@ -17,7 +17,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
 use records::{Kind, Records};
-use rwd_lab::site::{Behaviour, StoreFault};
+use rwd_lab::site::{Behaviour, Late, StoreFault};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Mutex;
@@ -34,13 +34,15 @@
 const LEAVING_TIME: Duration = Duration::from_millis(2500);
 /// Time within which all nodes must serve again after the last fault.
 const RECOVERY: Duration = Duration::from_secs(12);
-/// Seeds of past failures, each with its cause.
-const REGRESSIONS: [u64; 1] = [
+/// Number of kinds of faults. New ones are added at the end, so that seeds can be played again as before.
+const KINDS: u32 = 19;
+/// Seeds of past failures and the number of kinds of faults at that time, each with its cause.
+const REGRESSIONS: [(u64, u32); 1] = [
     // A late refusal, on which a stream that may be resumed was reported as not run.
-    45,
+    (45, 15),
 ];
 
-fn seeds() -> Vec<u64> {
+fn seeds() -> Vec<(u64, u32)> {
     let text = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1-2".to_owned());
     let range = |part: &str| {
         let (from, to) = part.split_once('-').unwrap_or((part, part));
@@ -51,7 +53,7 @@
         };
         number(from)..=number(to)
     };
-    let seeds = text.split(',').flat_map(range);
+    let seeds = text.split(',').flat_map(range).map(|seed| (seed, KINDS));
     REGRESSIONS.into_iter().chain(seeds).collect()
 }
 
@@ -62,13 +64,13 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_under_overlapping_faults() {
-    for seed in seeds() {
-        println!("soak: seed {seed}");
-        run_seed(seed, Duration::from_secs(seconds())).await;
+    for (seed, kinds) in seeds() {
+        println!("soak: seed {seed}, {kinds} kinds of faults");
+        run_seed(seed, kinds, Duration::from_secs(seconds())).await;
     }
 }
 
-async fn run_seed(seed: u64, time: Duration) {
+async fn run_seed(seed: u64, kinds: u32, time: Duration) {
     let cluster = Arc::new(TestCluster::start(3).await);
     let records = Arc::new(Records::default());
     let end = Instant::now() + time;
@@ -82,7 +84,8 @@
     let mut rng = StdRng::seed_from_u64(seed);
     while Instant::now() < end {
         let (cluster, seed) = (cluster.clone(), rng.next_u64());
-        faults.spawn(async move { inject_fault(&cluster, StdRng::seed_from_u64(seed)).await });
+        let fault_rng = StdRng::seed_from_u64(seed);
+        faults.spawn(async move { inject_fault(&cluster, kinds, fault_rng).await });
         sleep(Duration::from_millis(rng.random_range(50..MAX_GAP_MS))).await;
     }
     while faults.join_next().await.is_some() {}
@@ -107,11 +110,11 @@
 }
 
 // Injects a random fault and returns when it has ended.
-async fn inject_fault(cluster: &TestCluster, mut rng: StdRng) {
+async fn inject_fault(cluster: &TestCluster, kinds: u32, mut rng: StdRng) {
     let length = Duration::from_millis(rng.random_range(100..MAX_FAULT_MS));
     let node: &Node = &cluster.nodes[rng.random_range(0..cluster.nodes.len())];
     let target = rng.random_range(0..cluster.targets.len());
-    match rng.random_range(0..15) {
+    match rng.random_range(0..kinds) {
         0 => node.restart_after("-KILL", length).await,
         1 => node.restart_after("-TERM", Duration::ZERO).await,
         2 => {
@@ -159,7 +162,7 @@
             cluster.targets[target].add_headers(&[]);
             cluster.list_restarted(target);
         }
-        _ => {
+        14 => {
             let faults = [
                 Behaviour::NotRun,
                 Behaviour::Misdirected,
@@ -182,6 +185,15 @@
             let plan = [faults[rng.random_range(0..faults.len())]; 4];
             cluster.targets[target].script(&plan);
         }
+        15 => cluster.targets[target].crash(),
+        16 => cluster.restart_renamed(target),
+        17 => cluster.targets[target].script(&[Behaviour::Refuse(refusals::FULL_WITH_ID); 4]),
+        _ => {
+            let place = [Late::SameConnection, Late::NextConnection][rng.random_range(0..2)];
+            cluster.targets[target].repeat_refusals(Some(place));
+            sleep(length).await;
+            cluster.targets[target].repeat_refusals(None);
+        }
     }
 }
 
