Gossip versions of the configuration between the nodes of the gateway

Cause: versions spread from the readers of a group to its followers only. If all three readers are turned away, the others wait until their replicas are 1.5 s old, ask the readers in turn, and then random nodes. The probes between nodes have a field for the active version and a watch for the newest one gossiped, but the gateway set and read neither: its revision was always 0.

Now each node gossips its active version and asks the peer that gossips a newer one for it, as it does with the versions that readers announce. Messages are unchanged. Probes go out every 400 ms from each node, and what they bring is not taken for a confirmation by the store, so the age that bounds the use of keys is as before.

The test stands a peer beside a node that gossips a version and replies to no pull: without the change the node never had it.

--- a/crates/gateway/src/catalog_sync.rs
+++ b/crates/gateway/src/catalog_sync.rs
@@ -12,7 +12,7 @@
 use rand::seq::IteratorRandom;
 use rwd_peer::{Directory, Error, Exchange, Links};
 use rwd_placement::Timestamp;
-use rwd_types::InstanceName;
+use rwd_types::{InstanceName, Revision};
 use rwd_wire::Message;
 use std::io::Read;
 use std::sync::{Arc, Mutex, OnceLock};
@@ -180,6 +180,29 @@
         }
     }
 
+    /// Gossips the active version, and receives newer ones that others gossip, until the task is
+    /// dropped. Versions spread so although all readers of a group are cut off from the store.
+    pub async fn gossip(self: Arc<Self>) {
+        let mut activated = self.replica.watch();
+        let mut gossiped = self.directory.watch_newest();
+        loop {
+            let own = self.replica.catalog().map_or(0, |c| c.version);
+            self.directory.set_revision(Revision(own));
+            let newest = gossiped.borrow_and_update().clone();
+            if let Some((Revision(version), by)) = newest.filter(|(r, _)| r.0 > own) {
+                self.replica.require_version(version);
+                self.announce(version, &by, None);
+            }
+            let ended = tokio::select! {
+                activated = activated.changed() => activated.is_err(),
+                gossiped = gossiped.changed() => gossiped.is_err(),
+            };
+            if ended {
+                return;
+            }
+        }
+    }
+
     fn progressed(&self) -> std::sync::MutexGuard<'_, Timestamp> {
         self.progressed_at.lock().unwrap_or_else(|e| e.into_inner())
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -220,6 +220,7 @@
         );
         let transfer = Arc::new(transfer);
         tasks.spawn(transfer.clone().run());
+        tasks.spawn(transfer.clone().gossip());
         let follower = Follower {
             own: cfg.instance(),
             zone: cfg.zone.clone(),
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod crashing_prompts;
 mod cut_heads;
 mod failed_resumes;
+mod gossip;
 mod helper;
 mod large_configuration;
 mod late_refusals;
