Excuse holds whose refusal a stalled connection has lost, in the soak

It cannot know of the hold, so the case is allowed. The relay now keeps what it swallows, and only a refusal that is found there, by the id of its request, is excused.

--- a/crates/core/tests/soak/records.rs
+++ b/crates/core/tests/soak/records.rs
@@ -177,23 +177,28 @@
 }
 
 // No more than two requests reach a target from a node that it holds off, from half a second after its
-// refusal to the end of the time that it named. Signals to the node excuse it.
+// refusal to the end of the time that it named. Signals to the node excuse it, and a refusal that a
+// stalled connection has lost holds nobody off.
 fn check_holds(cluster: &TestCluster, records: &[Record], seed: u64) {
     let nodes: HashMap<_, _> = records.iter().map(|r| (r.id.as_str(), r.node)).collect();
     let node = |a: &Arrival| nodes.get(a.header("request-id")?).copied();
-    for target in &cluster.targets {
+    for (target, relay) in cluster.targets.iter().zip(&cluster.relays) {
         let arrivals = target.arrivals();
         for refused in &arrivals {
+            let id = refused.header("request-id").unwrap_or_default();
             let (Some(HELD), Some(n)) = (refused.refusal, node(refused)) else {
                 continue;
             };
             let (from, to) = (refused.at + HOLD_SLACK, refused.at + HOLD);
             let during = |a: &&Arrival| from < a.at && a.at < to && node(a) == Some(n);
             let late = arrivals.iter().filter(during).count();
+            let is_excused = cluster.nodes[n].was_disturbed(refused.at, to)
+                || relay.has_lost(&format!("Request-Id: {id}\r\n"));
             assert!(
-                late <= 2 || cluster.nodes[n].was_disturbed(refused.at, to),
-                "seed {seed}: {late} requests of node {n} reach {}, which holds it off",
-                target.name()
+                late <= 2 || is_excused,
+                "seed {seed}: {late} requests of node {n} reach {}, which holds it off: {:#?}",
+                target.name(),
+                cluster.nodes[n].lines_of(id)
             );
         }
     }
--- a/crates/lab/src/fake/tcp_relay.rs
+++ b/crates/lab/src/fake/tcp_relay.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -27,9 +27,13 @@
     address: SocketAddr,
     state: Arc<watch::Sender<RelayState>>,
     accepted: Arc<watch::Sender<u64>>,
+    lost: Lost,
     accept: tokio::task::JoinHandle<()>,
 }
 
+/// Bytes from the listener that stalled connections did not carry.
+type Lost = Arc<Mutex<Vec<Vec<u8>>>>;
+
 impl TcpRelay {
     /// Starts a relay to `to` that delays each chunk by `delay` in both directions.
     ///
@@ -41,14 +45,15 @@
         let address = listener.local_addr()?;
         let state = Arc::new(watch::Sender::new(RelayState::default()));
         let accepted = Arc::new(watch::Sender::new(0));
-        let (states, count) = (state.clone(), accepted.clone());
+        let lost = Lost::default();
+        let (states, count, losses) = (state.clone(), accepted.clone(), lost.clone());
         let accept = tokio::spawn(async move {
             let mut connections = JoinSet::new();
             while let Ok((tcp, _)) = listener.accept().await {
                 count.send_modify(|n| *n += 1);
                 let number = *count.borrow();
                 let state = states.subscribe();
-                connections.spawn(relay(tcp, to, number, state, delay));
+                connections.spawn(relay(tcp, to, number, state, delay, losses.clone()));
                 while connections.try_join_next().is_some() {}
             }
         });
@@ -56,6 +61,7 @@
             address,
             state,
             accepted,
+            lost,
             accept,
         })
     }
@@ -72,6 +78,13 @@
             .send_modify(|s| s.stalled_before = stalled_before);
     }
 
+    /// Whether a stalled connection did not carry bytes from the listener in which this text occurs.
+    pub fn has_lost(&self, text: &str) -> bool {
+        let lost = self.lost.lock().unwrap_or_else(|e| e.into_inner());
+        lost.iter()
+            .any(|b| String::from_utf8_lossy(b).contains(text))
+    }
+
     /// Stops all traffic, or resumes it on connections that are not stalled.
     pub fn block(&self, blocked: bool) {
         self.state.send_modify(|s| s.blocked = blocked);
@@ -90,6 +103,7 @@
     number: u64,
     state: watch::Receiver<RelayState>,
     delay: Duration,
+    lost: Lost,
 ) {
     let mut unblocked = state.clone();
     // While the relay is blocked, an accepted connection waits before it reaches the listener.
@@ -103,8 +117,8 @@
     let (a_rx, a_tx) = a.into_split();
     let (b_rx, b_tx) = b.into_split();
     tokio::select! {
-        () = copy(a_rx, b_tx, number, state.clone(), delay) => (),
-        () = copy(b_rx, a_tx, number, state, delay) => (),
+        () = copy(a_rx, b_tx, number, state.clone(), delay, None) => (),
+        () = copy(b_rx, a_tx, number, state, delay, Some(lost)) => (),
     }
 }
 
@@ -114,6 +128,7 @@
     number: u64,
     mut state: watch::Receiver<RelayState>,
     delay: Duration,
+    lost: Option<Lost>,
 ) {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
@@ -131,6 +146,10 @@
             .await;
         let stalled = current.map_or(true, |s| number < s.stalled_before);
         if stalled {
+            if let Some(lost) = lost {
+                let mut lost = lost.lock().unwrap_or_else(|e| e.into_inner());
+                lost.push(buf[..n].to_vec());
+            }
             return std::future::pending().await;
         }
         if n == 0 || tx.write_all(&buf[..n]).await.is_err() {
