--- a/crates/core/src/log_writer.rs
+++ b/crates/core/src/log_writer.rs
@@ -72,7 +72,7 @@
     output: Mutex<()>,
 }
 
-/// Writes lines to standard output; dropping it writes what is queued, unless the output takes nothing.
+/// Writes lines to standard output.
 pub(crate) struct LineWriter {
     shared: Arc<Shared>,
 }
