Let restarted targets of the soak forget that their predecessors leave

The trace: target-2 said that it leaves, the soak started target-2-1 at its address, and the fake kept the header by which the check knows the incarnation. The node sent nothing more to target-2; its successor is another target.

--- a/crates/core/tests/soak/cluster.rs
+++ b/crates/core/tests/soak/cluster.rs
@@ -160,6 +160,8 @@
         };
         self.targets[n].crash();
         self.targets[n].accept_only(&name);
+        // That the one before it leaves says nothing about this one.
+        self.targets[n].add_headers(&[]);
         if let Some(expired) = expired {
             self.store.put("keyed.servers", &expired, None);
         }
--- a/crates/core/tests/soak/records.rs
+++ b/crates/core/tests/soak/records.rs
@@ -221,7 +221,8 @@
             let in_time = late.node != told.node || late.sent < told.ended + DRAIN;
             assert!(
                 in_time || cluster.nodes[told.node].was_disturbed(told.sent, arrival.at),
-                "seed {seed}: {id} reaches {incarnation}, which node {} knew to leave",
+                "seed {seed}: {id} for {:?} reaches {incarnation}, which node {} knew to leave",
+                arrival.header("expect-instance"),
                 told.node
             );
         }
