Use what the soak already has: NotRun, and one wait until a node serves

The last read found two copies: a refusal with an id that is what Behaviour::NotRun sends, and a third loop that waits until a node serves a booking. Both are gone; the bytes that targets send and all checks are the same.

--- a/crates/core/tests/soak/logs.rs
+++ b/crates/core/tests/soak/logs.rs
@@ -2,19 +2,12 @@
 
 use crate::cluster::TestCluster;
 use crate::records::{Kind, Records};
-use crate::refusals::FULL_WITH_ID;
 use rwd_lab::site::Behaviour;
 use tokio::io::AsyncReadExt;
 
 /// Requests whose log lines fill a pipe and the queue behind it.
 const LOAD: usize = 2000;
 
-async fn await_serving(cluster: &TestCluster, records: &Records) {
-    while !records.call(cluster, 0, Kind::Unsafe, "first").await {
-        tokio::task::yield_now().await;
-    }
-}
-
 /// Guards against second sends that leave no trace: the lines of a killed process were lost, and those
 /// of a process whose log is read slowly.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -22,7 +15,7 @@
     let cluster = TestCluster::start(1).await;
     let records = Records::default();
     let mut log = cluster.nodes[0].restart_with_unread_log().await;
-    await_serving(&cluster, &records).await;
+    records.await_serving(&cluster, 0).await;
     for _ in 0..LOAD {
         records.call(&cluster, 0, Kind::Safe, "load").await;
     }
@@ -30,12 +23,12 @@
     let refused = || {
         let desks = targets().filter(|(n, _)| TestCluster::is_desk(*n));
         let arrivals = desks.flat_map(|(_, t)| t.arrivals());
-        let refused = arrivals.filter(|a| a.refusal.is_some());
+        let refused = arrivals.filter(|a| !a.started);
         let ids = refused.map(|a| a.header("request-id").unwrap_or_default().to_owned());
         ids.collect::<Vec<_>>()
     };
     // The one that gets the request refuses it, and the other one runs it.
-    cluster.targets[0].script(&[Behaviour::Refuse(FULL_WITH_ID)]);
+    cluster.targets[0].script(&[Behaviour::NotRun]);
     while refused().is_empty() {
         assert!(records.call(&cluster, 0, Kind::Unsafe, "twice").await);
     }
@@ -54,7 +47,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_last_lines_of_a_process_that_exits_are_in_its_log() {
     let cluster = TestCluster::start(1).await;
-    await_serving(&cluster, &Records::default()).await;
+    Records::default().await_serving(&cluster, 0).await;
     cluster.nodes[0].stop().await;
     let lines = cluster.nodes[0].lines();
     let last = lines.last().expect("it logs its start");
--- a/crates/core/tests/soak/main.rs
+++ b/crates/core/tests/soak/main.rs
@@ -187,7 +187,7 @@
         }
         15 => cluster.targets[target].crash(),
         16 => cluster.restart_renamed(target),
-        17 => cluster.targets[target].script(&[Behaviour::Refuse(refusals::FULL_WITH_ID); 4]),
+        17 => cluster.targets[target].script(&[Behaviour::NotRun; 4]),
         _ => {
             let place = [Late::SameConnection, Late::NextConnection][rng.random_range(0..2)];
             cluster.targets[target].repeat_refusals(Some(place));
--- a/crates/core/tests/soak/planned_stop.rs
+++ b/crates/core/tests/soak/planned_stop.rs
@@ -1,7 +1,7 @@
 //! Requests that a planned stop of their node overtakes.
 
 use crate::cluster::{KEY, Node, TestCluster};
-use crate::records::{Kind, Records};
+use crate::records::Records;
 use http::StatusCode;
 use rwd_lab::site::{Behaviour, Call, CallResult, call};
 use std::net::SocketAddr;
@@ -18,9 +18,7 @@
 async fn start() -> Arc<TestCluster> {
     let cluster = Arc::new(TestCluster::start_with_grace(1, GRACE_S).await);
     let records = Records::default();
-    while !records.call(&cluster, 0, Kind::Unsafe, "first").await {
-        yield_now().await;
-    }
+    records.await_serving(&cluster, 0).await;
     cluster
 }
 
--- a/crates/core/tests/soak/records.rs
+++ b/crates/core/tests/soak/records.rs
@@ -118,6 +118,13 @@
         served
     }
 
+    /// Sends requests to a node until it serves one.
+    pub async fn await_serving(&self, cluster: &TestCluster, node: usize) {
+        while !self.call(cluster, node, Kind::Unsafe, "first").await {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Checks all guarantees against the results so far.
     pub fn check(&self, cluster: &TestCluster, seed: u64) {
         let records = self.records.lock().unwrap_or_else(|e| e.into_inner());
--- a/crates/core/tests/soak/refusals.rs
+++ b/crates/core/tests/soak/refusals.rs
@@ -15,8 +15,6 @@
 const ROUNDS: usize = 3;
 /// The refusal of a full target, which does not name its request.
 pub const FULL: &str = "503 Service Unavailable\r\nNot-Run: 1\r\n";
-/// The refusal of a full target that names its request, the last header without its line end.
-pub const FULL_WITH_ID: &str = "503 Service Unavailable\r\nRequest-Id: ID\r\nNot-Run: 1";
 /// A response that says both that the request ran and that it did not.
 pub const CONTRADICTION: &str = "200 OK\r\nRequest-Id: ID\r\nSeal: s\r\nNot-Run: 1\r\n";
 
@@ -30,9 +28,7 @@
     let cluster = Arc::new(TestCluster::start(2).await);
     let records = Arc::new(Records::default());
     for node in 0..cluster.nodes.len() {
-        while !records.call(&cluster, node, Kind::Unsafe, "first").await {
-            tokio::task::yield_now().await;
-        }
+        records.await_serving(&cluster, node).await;
     }
     (cluster, records)
 }
