Prepare placement for the parts of the work on hard load

Cause: the order of service, retry times and settings of a scheduler were one file, which five parts (shares, returns, learned capacity, memory, connections) change at once.

Ruled out: switching parts on by the names of platforms or deployments.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,7 +45,9 @@
     LeaseReply, LocalQuota, NodeCounter, NodeCounts, QuotaBuckets, QuotaStatus, RetryBudget,
 };
 pub use crate::replica::StoreReplica;
-pub use crate::settings::{Bounds, GatewaySettings, Listen, SettingsError, instance_name};
+pub use crate::settings::{
+    Bounds, GatewaySettings, Listen, Scheduling, SettingsError, instance_name,
+};
 pub use crate::shards::{Shard, partition};
 pub use crate::stop::ShutdownPlan;
 pub use crate::store_sync::{Role, pause_after_stale};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,7 +13,6 @@
     ByteCounter, Directory, Exchange, Handler, KeepAlive, LinkSettings, Links, Membership,
     MembershipSettings, new_incarnation,
 };
-use rwd_placement::PlacementSettings;
 use rwd_timer::Timer;
 use rwd_types::InstanceName;
 use rwd_wire::{Liveness, MemberUpdate, Message, StoreCursor};
@@ -146,7 +145,7 @@
         };
         let membership = Membership::new(membership_cfg, directory.clone(), links.clone());
         let membership = Arc::new(membership);
-        let scheduler = Arc::new(LocalScheduler::new(PlacementSettings::default()));
+        let scheduler = Arc::new(LocalScheduler::new(cfg.scheduling.placement()));
         let replica = Arc::new(StoreReplica::default());
         let connections = Arc::new(ConnectionPool::default());
         let withheld = Arc::new(WithheldTargets::default());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use compact_str::{CompactString, ToCompactString};
 use derive_more::{Display, Error};
+use rwd_placement::PlacementSettings;
 use rwd_types::{InstanceName, RegionName, Secret, ZoneName};
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
@@ -95,6 +96,40 @@
     }
 }
 
+/// Features of scheduling that operators switch on.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Scheduling {
+    /// Whether the slots of a pool that is short of them are shared out among workspaces.
+    pub workspace_shares: bool,
+    /// Whether refused callers return at the rate that the pool will serve.
+    pub paced_returns: bool,
+    /// Whether requests go to other availability zones where these have room.
+    pub spilling: bool,
+    /// Whether the concurrency that a target takes well is learned.
+    pub learned_capacity: bool,
+    /// Whether targets crash when their requests exceed their memory.
+    pub bounded_memory: bool,
+    /// Whether targets to which the home node has a connection are preferred.
+    pub prefers_connected: bool,
+    /// Whether a scheduler that takes over learns what its predecessor knew.
+    pub handover: bool,
+}
+
+impl Scheduling {
+    /// The settings of a node's scheduler.
+    pub fn placement(&self) -> PlacementSettings {
+        PlacementSettings {
+            workspace_shares: self.workspace_shares,
+            paced_returns: self.paced_returns,
+            learned_capacity: self.learned_capacity,
+            bounded_memory: self.bounded_memory,
+            prefers_connected: self.prefers_connected,
+            ..PlacementSettings::default()
+        }
+    }
+}
+
 /// Settings of one node.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -119,6 +154,9 @@
     /// Service-level bounds.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Optional features of scheduling.
+    #[serde(default)]
+    pub scheduling: Scheduling,
 }
 
 fn whole_core() -> f64 {
--- a/crates/lab/tests/gateway/helper.rs
+++ b/crates/lab/tests/gateway/helper.rs
@@ -112,6 +112,7 @@
             cpu_share: 1.0,
             secret: Secret::new("a secret of the tests"),
             bounds: Bounds::default(),
+            scheduling: Default::default(),
         }
     }
 
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -5,30 +5,17 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use crate::queue::{Order, Priority, Waiting};
 use crate::request_limit::RequestLimit;
+use crate::returns::Returns;
 use crate::target::Target;
 use crate::{LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
 
 /// Requests that one round may skip because no target fits them.
 const MAX_SKIPPED: usize = 48;
-/// Lower bound of `Retry-After`, in milliseconds.
-const MIN_RETRY_AFTER_MS: f64 = 300.0;
-/// Time between the retries of two refused callers, in milliseconds.
-const RETRY_SPACING_MS: f64 = 12.0;
-/// Earliest retry as a fraction of the latest one: a caller that comes back too soon finds the pool
-/// still full, and it retries only once.
-const MIN_RETRY_FRACTION: f64 = 0.4;
-/// Fraction of a caller's remaining time beyond which it ignores `Retry-After`.
-const MAX_RETRY_FRACTION: f64 = 0.3;
-
-/// Factor applied to the estimated time to first byte when checking the latency objective.
-const ESTIMATE_MARGIN: f64 = 1.2;
-/// Fraction of a request's latency objective kept as slack when deciding whether it can be on time.
-const SLACK_FRACTION: f64 = 0.2;
+
 /// Window over which the service rate of late requests is measured, in milliseconds.
 const LATE_WINDOW_MS: f64 = 1000.0;
-/// Longest wait of an over-quota request, as a fraction of its latency objective.
-const OVER_QUOTA_WAIT_FRACTION: f64 = 0.1;
 
 /// Smoothing factor of the mean slot time of a route priority.
 const SLOT_TIME_ALPHA: f64 = 0.02;
@@ -55,6 +42,16 @@
     /// Weight ratio between one route priority and the next lower one. Operators value each route
     /// priority 3 to 7 times as high as the next.
     pub priority_factor: f64,
+    /// Whether the slots of a pool that is short of them are shared out among workspaces.
+    pub workspace_shares: bool,
+    /// Whether refused callers return at the rate that the pool will serve.
+    pub paced_returns: bool,
+    /// Whether the concurrency that a target takes well is learned; otherwise it is what it lists.
+    pub learned_capacity: bool,
+    /// Whether targets crash when their requests exceed their memory, so that the worst case counts.
+    pub bounded_memory: bool,
+    /// Whether targets to which the home node has a connection are preferred.
+    pub prefers_connected: bool,
 }
 
 impl Default for PlacementSettings {
@@ -62,6 +59,11 @@
         Self {
             wait_share: 0.35,
             priority_factor: 4.5,
+            workspace_shares: false,
+            paced_returns: false,
+            learned_capacity: false,
+            bounded_memory: false,
+            prefers_connected: false,
         }
     }
 }
@@ -102,71 +104,11 @@
     },
 }
 
-struct Waiting {
-    id: OfferId,
-    offer: Offer,
-    queued_at: Timestamp,
-    order: Order,
-}
-
-/// Sort key of the queue; derived `PartialOrd` makes the variants strict classes.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-enum Order {
-    /// Resumes a broken stream, whose caller has part of the response already.
-    Resumed(f64),
-    /// Can still meet its latency objective: by priority, then by time left.
-    OnTime(Priority, f64),
-    /// Will miss its latency objective: retries first, then by priority, then by time left.
-    Late(bool, Priority, f64),
-    /// Exceeds its workspace's quota.
-    OverQuota(Priority, f64),
-}
-
-/// Service priority of a request; the lowest is served first.
-///
-/// Within a workspace priority, requests are ordered by slot time over weight, as in Smith's rule
-/// (W. E. Smith, "Various optimizers for single-stage production", 1956): a route priority whose
-/// requests take a tenth of the slot time is not starved by one with twice its weight. The slot
-/// time is the mean of the route priority, so that its long requests wait no longer than its short
-/// ones.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-struct Priority {
-    workspace: u8,
-    smith_ratio: f64,
-}
-
-impl Waiting {
-    // `first_ms` is the pool's median time to process a prompt of this length.
-    fn order(&self, now: Timestamp, first_ms: f64, priority: Priority) -> Order {
-        let aim_left = self.offer.aim_left_ms - (now - self.queued_at);
-        match () {
-            _ if self.offer.resumes => Order::Resumed(aim_left),
-            _ if self.offer.beyond_quota => Order::OverQuota(priority, aim_left),
-            _ if aim_left > first_ms * ESTIMATE_MARGIN + self.slack_ms() => {
-                Order::OnTime(priority, aim_left)
-            }
-            _ => Order::Late(!self.offer.returned, priority, aim_left),
-        }
-    }
-
-    // Without slack, half of the responses served just in time would be late.
-    fn slack_ms(&self) -> f64 {
-        self.offer.aim_left_ms.max(0.0) * SLACK_FRACTION
-    }
-
-    fn max_wait_ms(&self, cfg: &PlacementSettings) -> f64 {
-        match self.offer.beyond_quota {
-            true => self.offer.aim_left_ms.max(0.0) * OVER_QUOTA_WAIT_FRACTION,
-            false => self.offer.time_left_ms * cfg.wait_share,
-        }
-    }
-}
-
 #[derive(Default)]
 struct Pool {
     targets: IndexMap<TargetName, Target>,
     waiting: Vec<Waiting>,
-    next_retry: Timestamp,
+    returns: Returns,
     // Grants to late requests within the last `LATE_WINDOW_MS`.
     late_grants: VecDeque<Timestamp>,
     speed: Speed,
@@ -571,7 +513,7 @@
                 _ => Refusal::Overload,
             };
             let w = self.waiting.remove(index);
-            let retry_after_ms = self.schedule_retry(&w.offer, waited_ms, now);
+            let retry_after_ms = self.returns.schedule(&w.offer, waited_ms, now);
             let decision = Decision::Refuse {
                 reason,
                 retry_after_ms,
@@ -581,21 +523,6 @@
         }
         out
     }
-
-    // Spaces out the retries of refused callers. When more are refused than fit into the retry
-    // window of a caller, the offsets wrap around.
-    fn schedule_retry(&mut self, offer: &Offer, waited_ms: f64, now: Timestamp) -> f64 {
-        let left = (offer.time_left_ms - waited_ms).max(0.0);
-        let latest_ms = left * MAX_RETRY_FRACTION;
-        let earliest_ms = MIN_RETRY_AFTER_MS.max(latest_ms * MIN_RETRY_FRACTION);
-        let window = latest_ms - earliest_ms;
-        if window <= 0.0 {
-            return latest_ms;
-        }
-        let offset_ms = (self.next_retry - now).max(0.0);
-        self.next_retry = now + offset_ms + RETRY_SPACING_MS;
-        earliest_ms + offset_ms % window
-    }
 }
 
 fn median(mut values: Vec<f64>) -> f64 {
