Grant large requests as often as small ones while a quota is exhausted, and keep precedence

A workspace that sends many times its usual exhausts its quota.

Ruled out: a lack of service slots left unused (all slots of all live targets were taken while requests were refused), prefixes that are read again.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -69,6 +69,9 @@
     pub quota_excess: f64,
     /// Quota units that all nodes together may grant beyond a workspace's quota.
     pub quota_slack: f64,
+    /// Fraction of `quota_slack` by which one request may overdraw a workspace's quota, so that large
+    /// requests are as likely to be granted as small ones while it is exhausted; 0 for none.
+    pub quota_overdraft: f64,
     /// Longest time for which callers cache a lookup response, in seconds.
     pub lookup_lifetime_s: f64,
 }
@@ -84,6 +87,7 @@
             repeat_slack: 50.0,
             quota_excess: 0.0,
             quota_slack: 0.0,
+            quota_overdraft: 0.0,
             lookup_lifetime_s: 5.0,
         }
     }
@@ -100,6 +104,8 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, default)]
 pub struct Scheduling {
+    /// Whether route priorities that are served less often than lower ones gain weight.
+    pub keeps_precedence: bool,
     /// Whether the slots of a pool that is short of them are shared out among workspaces.
     pub workspace_shares: bool,
     /// Whether refused callers return at the rate that the pool will serve.
@@ -120,6 +126,7 @@
     /// The settings of a node's scheduler.
     pub fn placement(&self) -> PlacementSettings {
         PlacementSettings {
+            keeps_precedence: self.keeps_precedence,
             workspace_shares: self.workspace_shares,
             paced_returns: self.paced_returns,
             learned_capacity: self.learned_capacity,
@@ -202,9 +209,11 @@
             ("bounds.lookup_lifetime_s", b.lookup_lifetime_s),
         ];
         let not_positive = positive.into_iter().find(|(_, value)| *value <= 0.0);
+        let bad_share = !(0.0..=1.0).contains(&b.quota_overdraft);
         let other_ip = self.listen.reachable_peers().ip() != self.listen.peers.ip();
         let (place, reason) = match not_positive {
             Some((place, _)) => (place, "must be above zero"),
+            None if bad_share => ("bounds.quota_overdraft", "must be from 0 to 1"),
             // Nodes are named after their IP addresses.
             None if other_ip => (
                 "listen.advertised_peers",
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,13 +2,15 @@
 //!
 //! The crate does no I/O and reads no clock: callers pass the time and carry out
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
-//! schedules. `queue` has the service order, `returns` says when refused callers retry, `target`
+//! schedules. `queue` has the service order, `precedence` corrects it
+//! for route priorities that fall behind lower ones, `returns` says when refused callers retry, `target`
 //! has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
 //! that crash targets, and `request_limit` keeps to the limits that targets name.
 
 mod cache;
 mod crash_ledger;
 mod offer;
+mod precedence;
 mod queue;
 mod registry;
 mod request_limit;
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use crate::precedence::Precedence;
 use crate::queue::{Order, Priority, Waiting};
 use crate::request_limit::RequestLimit;
 use crate::returns::Returns;
@@ -42,6 +43,8 @@
     /// Weight ratio between one route priority and the next lower one. Operators value each route
     /// priority 3 to 7 times as high as the next.
     pub priority_factor: f64,
+    /// Whether route priorities that are served less often than lower ones gain weight.
+    pub keeps_precedence: bool,
     /// Whether the slots of a pool that is short of them are shared out among workspaces.
     pub workspace_shares: bool,
     /// Whether refused callers return at the rate that the pool will serve.
@@ -59,6 +62,7 @@
         Self {
             wait_share: 0.35,
             priority_factor: 4.5,
+            keeps_precedence: false,
             workspace_shares: false,
             paced_returns: false,
             learned_capacity: false,
@@ -112,6 +116,7 @@
     // Grants to late requests within the last `LATE_WINDOW_MS`.
     late_grants: VecDeque<Timestamp>,
     speed: Speed,
+    precedence: Precedence,
     // Mean slot time by route priority, in milliseconds.
     slot_ms: IndexMap<u8, f64>,
     last_offer: Option<Timestamp>,
@@ -415,9 +420,13 @@
 
     fn priority(&self, rank: Rank, cfg: &PlacementSettings) -> Priority {
         let slot_ms = self.slot_ms.get(&rank.route).copied().unwrap_or(1.0);
+        let factor = match cfg.keeps_precedence {
+            true => self.precedence.factor(rank.route),
+            false => 1.0,
+        };
         Priority {
             workspace: rank.workspace,
-            smith_ratio: slot_ms * cfg.priority_factor.powi(i32::from(rank.route)),
+            smith_ratio: slot_ms * cfg.priority_factor.powi(i32::from(rank.route)) / factor,
         }
     }
 
@@ -427,6 +436,7 @@
             prefill_ms_per_token: median(usable().map(Target::prefill_ms_per_token).collect()),
             step_ms: median(usable().map(Target::step_ms).collect()),
         };
+        self.precedence.update(now);
         let per_token = self.speed.prefill_ms_per_token;
         let mut waiting = std::mem::take(&mut self.waiting);
         for w in &mut waiting {
@@ -460,9 +470,13 @@
                     let (name, address) = (t.info.name.clone(), t.info.address);
                     t.grant(self.waiting[index].id, offer, now);
                     let w = self.waiting.remove(index);
-                    if matches!(w.order, Order::Late(..)) {
+                    let is_late = matches!(w.order, Order::Late(..));
+                    if is_late {
                         self.late_grants.push_back(now);
                     }
+                    if !w.offer.beyond_quota && !w.offer.resumes {
+                        self.precedence.record(w.offer.rank.route, !is_late);
+                    }
                     out.push((w, name, address, first_ms, proven));
                 }
                 None => {
@@ -513,6 +527,9 @@
                 _ => Refusal::Overload,
             };
             let w = self.waiting.remove(index);
+            if !w.offer.beyond_quota {
+                self.precedence.record(w.offer.rank.route, false);
+            }
             let retry_after_ms = self.returns.schedule(&w.offer, waited_ms, now);
             let decision = Decision::Refuse {
                 reason,
--- a/crates/placement/tests/placement/main.rs
+++ b/crates/placement/tests/placement/main.rs
@@ -4,5 +4,6 @@
 mod helper;
 mod limits;
 mod overload;
+mod precedence;
 mod properties;
 mod withheld;
