Take the overdraft of quotas back: it moved the refusals, not their number

Large requests took the units that two to ten small ones had, so more callers were refused for the same credit. A better way would grant by route priority within a workspace; not begun.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -134,8 +134,6 @@
     within: f64,
     excess_rate: f64,
     beyond: f64,
-    // Units by which one request may overdraw the bucket.
-    overdraft: f64,
 }
 
 impl BucketParams {
@@ -147,14 +145,11 @@
             true => TOLERANCE_SHARE,
             false => 0.0,
         };
-        // Taken from the tolerance, so that the sum stays the same.
-        let overdraft = bounds.quota_slack * bounds.quota_overdraft.min(tolerance);
         Self {
             rate,
             within: quota.burst.max(quota.per_s * MIN_BURST_S) * share,
             excess_rate: rate * bounds.quota_excess * tolerance,
-            beyond: bounds.quota_slack * tolerance - overdraft,
-            overdraft,
+            beyond: bounds.quota_slack * tolerance,
         }
     }
 }
@@ -210,10 +205,7 @@
 
     // A request larger than the bucket is granted once that is nearly full, and overdraws it.
     fn take(&mut self, params: &BucketParams, units: f64) -> Option<QuotaStatus> {
-        // An overdraft makes all sizes equally likely to be granted. Without one, small requests
-        // drain a bucket that is nearly empty before it has enough for a large one.
-        let is_covered = self.within > 0.0 && self.within + params.overdraft >= units;
-        if is_covered || self.within >= units.min(params.within * NEARLY_FULL) {
+        if self.within >= units.min(params.within * NEARLY_FULL) {
             self.within -= units;
             return Some(QuotaStatus::Within);
         }
@@ -224,9 +216,8 @@
         None
     }
 
-    fn retry_after(&mut self, params: &BucketParams, units: f64) -> f64 {
-        let needed = (units - params.overdraft).max(0.0);
-        let wait = (needed + self.promised - self.within).max(0.0) / params.rate.max(1e-9);
+    fn retry_after(&mut self, units: f64, rate: f64) -> f64 {
+        let wait = (units + self.promised - self.within).max(0.0) / rate.max(1e-9);
         if wait < MAX_RETRY_AFTER_MS {
             self.promised += units;
         }
@@ -339,7 +330,7 @@
         match bucket.take(&params, units) {
             Some(status) => LeaseReply::Granted { units, status },
             None => LeaseReply::Exhausted {
-                retry_after_ms: bucket.retry_after(&params, units),
+                retry_after_ms: bucket.retry_after(units, params.rate),
             },
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -69,9 +69,6 @@
     pub quota_excess: f64,
     /// Quota units that all nodes together may grant beyond a workspace's quota.
     pub quota_slack: f64,
-    /// Fraction of `quota_slack` by which one request may overdraw a workspace's quota, so that large
-    /// requests are as likely to be granted as small ones while it is exhausted; 0 for none.
-    pub quota_overdraft: f64,
     /// Longest time for which callers cache a lookup response, in seconds.
     pub lookup_lifetime_s: f64,
 }
@@ -87,7 +84,6 @@
             repeat_slack: 50.0,
             quota_excess: 0.0,
             quota_slack: 0.0,
-            quota_overdraft: 0.0,
             lookup_lifetime_s: 5.0,
         }
     }
@@ -209,11 +205,9 @@
             ("bounds.lookup_lifetime_s", b.lookup_lifetime_s),
         ];
         let not_positive = positive.into_iter().find(|(_, value)| *value <= 0.0);
-        let bad_share = !(0.0..=1.0).contains(&b.quota_overdraft);
         let other_ip = self.listen.reachable_peers().ip() != self.listen.peers.ip();
         let (place, reason) = match not_positive {
             Some((place, _)) => (place, "must be above zero"),
-            None if bad_share => ("bounds.quota_overdraft", "must be from 0 to 1"),
             // Nodes are named after their IP addresses.
             None if other_ip => (
                 "listen.advertised_peers",
