Measure the room of a shard, and define the messages that carry it

Cause: a request is queued at the shard of its zone and at one picked at random, because nobody knows which shard has room. The scheduler of a shard now computes its room (free slots, waiting, expected wait) from what it tracks anyway; wire has ShardReport and Rooms at the end of its messages. Nothing sends them yet.

Ruled out: rooms as fields of Placed, Queued and Declined, which would change their bytes with the setting off; a message of its own precedes them instead.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! The crate does no I/O and reads no clock: callers pass the time and carry out
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
-//! schedules. `queue` has the service order, `returns` says when refused callers retry, `target`
-//! has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
+//! schedules. `queue` has the service order, `returns` says when refused callers retry, `room` how
+//! much room a pool has, `target` has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
 //! that crash targets, and `request_limit` keeps to the limits that targets name.
 
 mod cache;
@@ -13,7 +13,9 @@
 mod registry;
 mod request_limit;
 mod returns;
+mod room;
 mod scheduler;
+mod share_use;
 mod target;
 
 pub use crate::cache::PromptCache;
@@ -21,5 +23,7 @@
 pub use crate::offer::{Offer, OfferId, PromptPart, Rank, SlotOutcome, Timestamp};
 pub use crate::registry::TargetEntry;
 pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
+pub use crate::room::{MAX_WAIT_MS, Room};
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
+pub use crate::share_use::ShareUse;
 pub use crate::target::{Capacity, TargetInfo};
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -8,6 +8,7 @@
 use crate::queue::{Order, Priority, Waiting};
 use crate::request_limit::RequestLimit;
 use crate::returns::Returns;
+use crate::room::{GrantRate, Room};
 use crate::target::Target;
 use crate::{LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
 
@@ -111,6 +112,7 @@
     returns: Returns,
     // Grants to late requests within the last `LATE_WINDOW_MS`.
     late_grants: VecDeque<Timestamp>,
+    grant_rate: GrantRate,
     speed: Speed,
     // Mean slot time by route priority, in milliseconds.
     slot_ms: IndexMap<u8, f64>,
@@ -342,6 +344,7 @@
             pool.sort(&self.cfg, now);
             pool.set_limit_share(self.visible_share.unwrap_or(1.0), now);
             let granted = pool.grant_free_slots(self.slot_fraction, now);
+            pool.grant_rate.record(granted.len(), now);
             for (w, target, address, first_ms, proven) in granted {
                 self.granted.insert(w.id, (name.clone(), target.clone()));
                 let waited_ms = now - w.queued_at;
@@ -369,6 +372,19 @@
         self.pools.get(pool).map_or(0, |p| p.waiting.len())
     }
 
+    /// The room of a pool.
+    pub fn room(&self, pool: &PoolName, now: Timestamp) -> Option<Room> {
+        let pool = self.pools.get(pool).filter(|p| !p.targets.is_empty())?;
+        Some(pool.room(self.slot_fraction, now))
+    }
+
+    /// The pools that got an offer within the last `window_ms` milliseconds.
+    pub fn offered_pools(&self, window_ms: f64, now: Timestamp) -> Vec<PoolName> {
+        let offered = |p: &Pool| p.last_offer.is_some_and(|t| now - t <= window_ms);
+        let pools = self.pools.iter().filter(|(_, p)| offered(p));
+        pools.map(|(name, _)| name.clone()).collect()
+    }
+
     /// A pool's targets.
     pub fn targets(&self, pool: &PoolName, now: Timestamp) -> Vec<TargetView> {
         let targets = self.pools.get(pool).into_iter().flat_map(|p| &p.targets);
@@ -474,6 +490,17 @@
         out
     }
 
+    fn room(&self, slot_fraction: Option<f64>, now: Timestamp) -> Room {
+        let free = match slot_fraction.is_some_and(|f| self.exceeds_slot_fraction(f)) {
+            true => 0,
+            false => self.targets.values().map(|t| t.free_slots(now)).sum(),
+        };
+        let is_ahead = |w: &&Waiting| matches!(w.order, Order::Resumed(_) | Order::OnTime(..));
+        let ahead = self.waiting.iter().filter(is_ahead).count();
+        let rate = self.grant_rate.per_ms(now);
+        Room::new(free, self.waiting.len(), ahead, rate)
+    }
+
     fn exceeds_slot_fraction(&self, fraction: f64) -> bool {
         let slots = self.targets.values().map(|t| t.info.capacity.slots);
         let slots: f64 = slots.map(f64::from).sum();
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -286,6 +286,24 @@
         self.is_usable(now) && self.in_flight.len() < self.max_in_flight() && self.limit.allows(now)
     }
 
+    /// Number of requests like those in progress that the target could take now.
+    pub fn free_slots(&self, now: Timestamp) -> u32 {
+        if !self.has_free_slot(now) {
+            return 0;
+        }
+        let by_slots = (self.max_in_flight() - self.in_flight.len()) as u32;
+        let used: u32 = self.in_flight.values().map(|f| f.tokens).sum();
+        let by_memory = match self.info.capacity.memory_tokens {
+            Some(cap) if used > 0 => {
+                let mean = f64::from(used) / self.in_flight.len() as f64;
+                let left = f64::from(cap) * MAX_MEMORY_FRACTION - f64::from(used);
+                (left / mean).max(0.0) as u32
+            }
+            _ => u32::MAX,
+        };
+        by_slots.min(by_memory)
+    }
+
     // Concurrent requests sent to the target. Non-LLM services get as many beyond their slots as
     // complete within one turnaround, so that a freed slot has its next request already.
     fn max_in_flight(&self) -> usize {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -260,6 +260,35 @@
     pub proven: bool,
 }
 
+/// Maximum number of rooms in one [`Message::Rooms`].
+pub const MAX_ROOM_ROWS: usize = 8;
+/// Maximum number of workspaces in one [`ShardReport`].
+pub const MAX_SHARE_ROWS: usize = 16;
+
+/// The room of a shard, as a scheduler knows it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ShardRoom {
+    /// Hash of the shard's name.
+    pub shard: u32,
+    /// The room.
+    pub room: rwd_placement::Room,
+    /// Milliseconds since the scheduler of the shard took it.
+    pub age_ms: u32,
+}
+
+/// What the scheduler of a shard tells the schedulers of the pool's other shards.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ShardReport {
+    /// The shard.
+    pub shard: PoolName,
+    /// Its room.
+    pub room: rwd_placement::Room,
+    /// Milliseconds since the room was taken.
+    pub age_ms: u32,
+    /// Use of its slots by workspace, at most [`MAX_SHARE_ROWS`] rows.
+    pub shares: Vec<rwd_placement::ShareUse>,
+}
+
 /// Units of a workspace that a node was granted by others than the coordinator asked, or refunded.
 ///
 /// Both totals are monotonic, so messages may be lost, delayed or duplicated.
@@ -438,4 +467,9 @@
         /// What is new, or all that the sender knows if that differs from what the receiver knows.
         news: Box<rwd_placement::CrashNews>,
     },
+    /// Reports the room of a shard; the reply is [`Message::UpToDate`].
+    ShardReport(Box<ShardReport>),
+    /// Rooms of the shards of the offer's pool, at most [`MAX_ROOM_ROWS`]; precedes the reply to an
+    /// offer.
+    Rooms(Vec<ShardRoom>),
 }
