Offer requests to the shards that have room

Cause: a queued request was queued at a second shard picked at random, also when its own zone's queue was about to serve it, and never left a zone that has two shards. With scheduling.spilling, schedulers report their rooms to each other and to home nodes, and gateway::room chooses the second shard: only when the time that it gains is worth more than the bytes between zones and the prefix, in proportion to free slots.

Ruled out: offering to a further shard before the own one (work would not come home); a fixed pair of shards for each request (the choice is made again each 50 ms while the request waits at one). The reply of the second shard is awaited beside the decision of the first, so that an unreachable zone delays nothing.

Off by default: acquire, replies and messages are then as before, but for the field spilled_to of the dispatch line.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,8 @@
 mod refusal;
 mod relay;
 mod replica;
+mod room;
+mod room_sync;
 mod run;
 mod server;
 mod settings;
@@ -45,6 +47,10 @@
     LeaseReply, LocalQuota, NodeCounter, NodeCounts, QuotaBuckets, QuotaStatus, RetryBudget,
 };
 pub use crate::replica::StoreReplica;
+pub use crate::room::{
+    BadRoom, Choice, Choices, MAX_REPORTED_SHARDS, MAX_ROOM_AGE_MS, Reason, ReportPacer, RoomRelay,
+    RoomView, Rooms, ShardKey, Spills, Stage, report_receivers,
+};
 pub use crate::settings::{
     Bounds, GatewaySettings, Listen, Scheduling, SettingsError, instance_name,
 };
--- a/crates/gateway/src/local_scheduler.rs
+++ b/crates/gateway/src/local_scheduler.rs
@@ -4,16 +4,18 @@
 use log::info;
 use rwd_peer::Exchange;
 use rwd_placement::{
-    Decision, LimitNotice, LimitReport, Offer, OfferId, PlacementSettings, Refusal, Scheduler,
-    SlotOutcome, TargetInfo,
+    Decision, LimitNotice, LimitReport, Offer, OfferId, PlacementSettings, Refusal, Room,
+    Scheduler, SlotOutcome, TargetInfo,
 };
 use rwd_types::{PoolName, RequestRate, TargetName};
-use rwd_wire::{Message, Placed};
+use rwd_wire::{Message, Placed, ShardReport};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock;
+use crate::room::{learn_share_rows, share_rows};
+use crate::room_sync::RoomSync;
 use crate::slots::Declined;
 
 /// Interval at which waiting offers are polled when no other event triggers it.
@@ -30,6 +32,8 @@
 pub(crate) struct LocalScheduler {
     inner: Mutex<Inner>,
     waiting: Notify,
+    // Set if home nodes are told of the rooms of shards.
+    rooms: Option<Arc<RoomSync>>,
 }
 
 /// An offer to the scheduler; dropping it withdraws the offer or releases its slot.
@@ -89,7 +93,7 @@
 }
 
 impl LocalScheduler {
-    pub fn new(cfg: PlacementSettings) -> Self {
+    pub fn new(cfg: PlacementSettings, rooms: Option<Arc<RoomSync>>) -> Self {
         let inner = Inner {
             scheduler: Scheduler::new(cfg),
             ..Inner::default()
@@ -97,6 +101,7 @@
         Self {
             inner: Mutex::new(inner),
             waiting: Notify::new(),
+            rooms,
         }
     }
 
@@ -124,6 +129,32 @@
         }
     }
 
+    /// The room of a pool.
+    pub fn room(&self, pool: &PoolName) -> Option<Room> {
+        self.lock().scheduler.room(pool, clock::now())
+    }
+
+    /// Reports of the pools that got an offer within the last `window_ms` milliseconds.
+    pub fn reports(&self, window_ms: f64) -> Vec<ShardReport> {
+        let now = clock::now();
+        let inner = self.lock();
+        let pools = inner.scheduler.offered_pools(window_ms, now);
+        let reports = pools.into_iter().filter_map(|shard| {
+            Some(ShardReport {
+                room: inner.scheduler.room(&shard, now)?,
+                age_ms: 0,
+                shares: share_rows(&inner.scheduler, &shard, now),
+                shard,
+            })
+        });
+        reports.collect()
+    }
+
+    /// Applies the report of another shard of a pool.
+    pub fn learn_report(&self, report: &ShardReport) {
+        learn_share_rows(&mut self.lock().scheduler, report, clock::now());
+    }
+
     /// Makes an offer.
     pub fn offer(self: &Arc<Self>, offer: Offer) -> Ticket {
         let (tx, decision) = oneshot::channel();
@@ -166,8 +197,18 @@
     ///
     /// Fails when the exchange breaks; the offer is then withdrawn and its slot released.
     pub async fn serve(self: &Arc<Self>, offer: Offer, mut ex: Exchange) -> rwd_peer::Result<()> {
+        let rooms = self.rooms.as_ref().map(|r| (r, offer.clone()));
         let mut ticket = self.offer(offer);
-        let decision = match ticket.try_decision() {
+        let decision = ticket.try_decision();
+        if let Some((rooms, offer)) = rooms {
+            if let Some(room) = self.room(&offer.pool) {
+                rooms.learn_own(&offer.pool, room);
+            }
+            if let Some(rows) = rooms.relay(&offer, matches!(decision, Some(Ok(_)))) {
+                ex.send(&Message::Rooms(rows)).await?;
+            }
+        }
+        let decision = match decision {
             Some(decision) => decision,
             None => {
                 ex.send(&Message::Queued).await?;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -34,6 +34,7 @@
 use crate::gateway::{Body, Gateway, MAX_BUFFERED_BYTES};
 use crate::limits::Limiter;
 use crate::local_scheduler::LocalScheduler;
+use crate::room_sync::RoomSync;
 use crate::server::{StopPhase, accept, plain_response};
 use crate::shards::{Shards, partition};
 use crate::slots::Slots;
@@ -73,6 +74,8 @@
 const SHARE_PERIOD: Duration = Duration::from_millis(500);
 /// Interval at which schedulers are told of limits of targets that they may not know.
 const LIMITS_PERIOD: Duration = Duration::from_millis(300);
+/// Interval at which the rooms of shards are reported.
+const ROOMS_PERIOD: Duration = Duration::from_millis(250);
 /// Period of dropping the holds of targets that have ended.
 const HOLDS_PERIOD: Duration = Duration::from_millis(200);
 /// Interval between two checks of the settings file and of idle connections.
@@ -145,11 +148,14 @@
         };
         let membership = Membership::new(membership_cfg, directory.clone(), links.clone());
         let membership = Arc::new(membership);
-        let scheduler = Arc::new(LocalScheduler::new(cfg.scheduling.placement()));
+        let shards = Arc::new(Shards::default());
+        let rooms = cfg.scheduling.spilling;
+        let rooms = rooms.then(|| Arc::new(RoomSync::new(shards.clone())));
+        let scheduler = LocalScheduler::new(cfg.scheduling.placement(), rooms.clone());
+        let scheduler = Arc::new(scheduler);
         let replica = Arc::new(StoreReplica::default());
         let connections = Arc::new(ConnectionPool::default());
         let withheld = Arc::new(WithheldTargets::default());
-        let shards = Arc::new(Shards::default());
         let limiter = Arc::new(Limiter::new(
             instance.clone(),
             directory.clone(),
@@ -165,6 +171,7 @@
             links.clone(),
             shards.clone(),
             replica.clone(),
+            rooms,
         ));
         let gateway = Arc::new(Gateway {
             protocol,
@@ -259,6 +266,9 @@
         ));
         tasks.spawn(scheduler.clone().run());
         tasks.spawn(spread_limits(slots.clone(), timer.clone()));
+        if cfg.scheduling.spilling {
+            tasks.spawn(report_rooms(slots.clone(), timer.clone()));
+        }
         tasks.spawn(end_holds(withheld, timer.clone()));
         tasks.spawn(crash_guard.clone().run(timer.clone()));
         tasks.spawn(crash_guard.clone().store_blocks(
@@ -512,6 +522,10 @@
                 self.slots.learn_limits(&limits);
                 ex.send_last(&Message::UpToDate).await
             }
+            Message::ShardReport(report) => {
+                self.slots.learn_report(&report);
+                ex.send_last(&Message::UpToDate).await
+            }
             Message::AskNews(cursor) => store_sync::serve_pull(&self.replica, cursor, ex).await,
             Message::AskCatalog { version, part } => {
                 catalog_sync::serve_part(&self.replica, version, part, ex).await
@@ -581,6 +595,15 @@
     }
 }
 
+// Tells the schedulers of a pool's other shards how much room there is.
+async fn report_rooms(slots: Arc<Slots>, timer: Timer) {
+    let mut ticks = timer.every(ROOMS_PERIOD);
+    loop {
+        ticks.tick().await;
+        slots.report_rooms().await;
+    }
+}
+
 // Drops the holds of targets that have ended.
 async fn end_holds(withheld: Arc<WithheldTargets>, timer: Timer) {
     let mut ticks = timer.every(HOLDS_PERIOD);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -291,18 +291,29 @@
             .metrics
             .slot_wait_ms
             .record(sent - requested_at, &[]);
+        self.record_spill(&dispatch.slot);
         info!(
             event = "dispatch", request:% = self.admitted.head.id, target:% = dispatch.slot.target,
             scheduler:% = dispatch.slot.scheduler, waited_ms = (sent - requested_at) as u64,
             expected_ms = dispatch.slot.first_ms as u64, after:? = last_event,
             arrivals = self.arrivals, may_repeat = self.may_repeat(),
-            list_age_ms = self.gateway.replica.targets_age_ms() as u64;
+            list_age_ms = self.gateway.replica.targets_age_ms() as u64,
+            spilled_to:? = dispatch.slot.spill.as_ref().map(|s| s.zone.as_str());
             "dispatching to a target"
         );
         let attempt = self.send(permit, &mut dispatch, last_event).await;
         Ok((dispatch, attempt))
     }
 
+    fn record_spill(&self, slot: &Slot) {
+        if let Some(spill) = &slot.spill {
+            let metrics = &self.gateway.metrics;
+            metrics.spilled.add(1, &[label("reason", spill.reason)]);
+            let age_ms = spill.room_age_ms.iter();
+            age_ms.for_each(|ms| metrics.room_age_ms.record(*ms, &[]));
+        }
+    }
+
     // Why this node must not send requests to the target of a slot.
     fn withheld(&self, dispatch: &Dispatch) -> Option<Withheld> {
         let (target, now) = (&dispatch.slot.target, clock::now());
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -95,6 +95,14 @@
             .collect()
     }
 
+    /// The shards of the pool that a shard belongs to, itself included.
+    pub fn siblings(&self, shard: &PoolName) -> Vec<Shard> {
+        let by_pool = self.lock();
+        let mut pools = by_pool.values();
+        let pool = pools.find(|shards| shards.iter().any(|s| s.name == *shard));
+        pool.cloned().unwrap_or_default()
+    }
+
     /// The shards of a pool in the order to try them: those of `zone` first, otherwise random.
     pub fn of(&self, pool: &PoolName, zone: &ZoneName) -> Vec<Shard> {
         let mut shards = self.lock().get(pool).cloned().unwrap_or_default();
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -1,5 +1,7 @@
 //! Acquires slots from the scheduler of a request's pool, remote or local.
 
+mod spill;
+
 use futures_util::future::select_all;
 use indexmap::IndexMap;
 use log::{debug, info, warn};
@@ -17,9 +19,12 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::local_scheduler::{LocalScheduler, Ticket};
+use crate::room_sync::RoomSync;
 use crate::shards::{Shard, Shards};
 use crate::{StoreReplica, clock};
 
+pub(crate) use spill::Spill;
+
 /// How long a scheduler may take to acknowledge an offer. A busy one takes longer than the round
 /// trip, and after a failover its successor starts with empty load counts.
 const FIRST_REPLY_TIMEOUT: Duration = Duration::from_millis(350);
@@ -61,6 +66,8 @@
     pub proven: bool,
     /// The node that granted the slot, for logs.
     pub scheduler: InstanceName,
+    /// Set if the request goes to another zone.
+    pub spill: Option<Spill>,
     shard: PoolName,
     // What the response says about the target's request limit, until that is reported.
     limit: LimitReport,
@@ -115,6 +122,8 @@
     replica: Arc<StoreReplica>,
     avoided: Mutex<IndexMap<InstanceName, Timestamp>>,
     known_limits: Mutex<KnownLimits>,
+    // Set if requests go where there is room.
+    rooms: Option<Arc<RoomSync>>,
 }
 
 /// An offer that is queued or granted at a scheduler.
@@ -138,6 +147,7 @@
         links: Arc<Links>,
         shards: Arc<Shards>,
         replica: Arc<StoreReplica>,
+        rooms: Option<Arc<RoomSync>>,
     ) -> Self {
         Self {
             instance,
@@ -148,6 +158,7 @@
             replica,
             avoided: Mutex::default(),
             known_limits: Mutex::default(),
+            rooms,
         }
     }
 
@@ -224,6 +235,9 @@
     /// A request that is queued at one shard is queued at a second one too and takes the first slot
     /// of either, as in late binding (Ousterhout et al., "Sparrow", SOSP 2013).
     pub async fn acquire(&self, mut offer: Offer) -> Result<Slot, Declined> {
+        if let Some(rooms) = &self.rooms {
+            return self.acquire_by_room(rooms, offer).await;
+        }
         let created = clock::now();
         let shards = self.shards.of(&offer.pool, &offer.zone);
         let mut open = Vec::new();
@@ -359,7 +373,11 @@
         };
         let reply = async {
             let mut ex = self.links.open(name, &message).await?;
-            let reply = ex.recv().await?.ok_or(Error::Ended)?;
+            let mut reply = ex.recv().await?.ok_or(Error::Ended)?;
+            if let Message::Rooms(rows) = &reply {
+                self.rooms.iter().for_each(|r| r.learn(rows));
+                reply = ex.recv().await?.ok_or(Error::Ended)?;
+            }
             Ok::<_, Error>((ex, reply))
         };
         let (ex, reply) = match timeout(FIRST_REPLY_TIMEOUT, reply).await {
@@ -403,6 +421,7 @@
             first_ms: granted.first_ms,
             proven: granted.proven,
             scheduler,
+            spill: None,
             shard: shard.clone(),
             limit: LimitReport::Unknown,
             handle,
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -50,6 +50,10 @@
     pub answer_ms: Histogram<f64>,
     /// Time that requests waited for a slot, in milliseconds.
     pub slot_wait_ms: Histogram<f64>,
+    /// Requests that went to targets of another zone, by reason.
+    pub spilled: Counter<u64>,
+    /// Age of the rooms that led requests to another zone, in milliseconds.
+    pub room_age_ms: Histogram<f64>,
     /// Failed sends to targets, by kind.
     pub sends_failed: Counter<u64>,
     /// Responses that say that their request has not run, by what proves them to be its own.
@@ -89,6 +93,8 @@
             first_token_ms: latency(&meter, "first_token_ms"),
             answer_ms: latency(&meter, "answer_ms"),
             slot_wait_ms: latency(&meter, "slot_wait_ms"),
+            spilled: counter(&meter, "requests_spilled"),
+            room_age_ms: latency(&meter, "room_age_ms"),
             sends_failed: counter(&meter, "sends_failed"),
             refused_by_targets: counter(&meter, "refused_by_targets"),
             second_sends: counter(&meter, "second_sends"),
