Test the choice of shards by room, without a network

Zones with a scheduler and home nodes each, in virtual time, against one clairvoyant queue and against the random second shard.

--- /dev/null
+++ b/crates/gateway/tests/room/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the choice of shards by their room, without a network.
+
+mod choices;
+mod failures;
+mod helper;
+mod waves;
