Bound the free slots of a room, and compute rooms only when they are sent

Cause: in review, a list of targets that names very many slots made the sum of free slots overflow, and a scheduler computed its room for each remote offer though a reply carries rooms at most each 100 ms.

placement/tests has cases of Room: a queue, targets that are down or leave, memory, and lists that name too many slots. Tests of rwd-placement (placement) and rwd-gateway (room) pass.

--- a/crates/gateway/src/local_scheduler.rs
+++ b/crates/gateway/src/local_scheduler.rs
@@ -7,8 +7,8 @@
     Decision, LimitNotice, LimitReport, Offer, OfferId, PlacementSettings, Refusal, Room,
     Scheduler, SlotOutcome, TargetInfo,
 };
-use rwd_types::{PoolName, RequestRate, TargetName};
-use rwd_wire::{Message, Placed, ShardReport};
+use rwd_types::{InstanceName, PoolName, RequestRate, TargetName};
+use rwd_wire::{Message, Placed, ShardReport, ShardRoom};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -134,6 +134,21 @@
         self.lock().scheduler.room(pool, clock::now())
     }
 
+    // Rooms for a home node, if it is time to send them.
+    fn rooms_for(
+        &self,
+        home: &InstanceName,
+        shard: &PoolName,
+        granted: bool,
+    ) -> Option<Vec<ShardRoom>> {
+        let rooms = self.rooms.as_ref()?;
+        if !rooms.is_relay_due(home, shard, granted) {
+            return None;
+        }
+        rooms.learn_own(shard, self.room(shard)?);
+        Some(rooms.relay(shard))
+    }
+
     /// Reports of the pools that got an offer within the last `window_ms` milliseconds.
     pub fn reports(&self, window_ms: f64) -> Vec<ShardReport> {
         let now = clock::now();
@@ -197,16 +212,12 @@
     ///
     /// Fails when the exchange breaks; the offer is then withdrawn and its slot released.
     pub async fn serve(self: &Arc<Self>, offer: Offer, mut ex: Exchange) -> rwd_peer::Result<()> {
-        let rooms = self.rooms.as_ref().map(|r| (r, offer.clone()));
+        let (home, shard) = (offer.home.clone(), offer.pool.clone());
         let mut ticket = self.offer(offer);
         let decision = ticket.try_decision();
-        if let Some((rooms, offer)) = rooms {
-            if let Some(room) = self.room(&offer.pool) {
-                rooms.learn_own(&offer.pool, room);
-            }
-            if let Some(rows) = rooms.relay(&offer, matches!(decision, Some(Ok(_)))) {
-                ex.send(&Message::Rooms(rows)).await?;
-            }
+        let granted = matches!(decision, Some(Ok(_)));
+        if let Some(rows) = self.rooms_for(&home, &shard, granted) {
+            ex.send(&Message::Rooms(rows)).await?;
         }
         let decision = match decision {
             Some(decision) => decision,
--- a/crates/gateway/src/room/table.rs
+++ b/crates/gateway/src/room/table.rs
@@ -4,7 +4,7 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use rand::seq::SliceRandom;
-use rwd_placement::{MAX_WAIT_MS, Room, Timestamp};
+use rwd_placement::{MAX_FREE_SLOTS, MAX_WAIT_MS, Room, Timestamp};
 use rwd_wire::{MAX_ROOM_ROWS, ShardRoom};
 use std::collections::VecDeque;
 
@@ -14,8 +14,6 @@
 const MAX_KNOWN: usize = 1024;
 /// Maximum number of own offers that are remembered for one shard.
 const MAX_SENT: usize = 256;
-/// Highest believable number of free slots of one shard.
-const MAX_FREE: u32 = 1 << 16;
 
 /// A value in a reported room that no scheduler reports.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
@@ -77,7 +75,7 @@
     ///
     /// Names the field that has no valid value; the room that was known before remains.
     pub fn learn(&mut self, row: &ShardRoom, now: Timestamp) -> Result<()> {
-        BadRoom::check("free", row.room.free.into(), MAX_FREE.into())?;
+        BadRoom::check("free", row.room.free.into(), MAX_FREE_SLOTS.into())?;
         BadRoom::check("wait_ms", row.room.wait_ms.into(), MAX_WAIT_MS.into())?;
         let taken = now + -f64::from(row.age_ms);
         let is_newer = |k: &Known| k.taken.is_none_or(|(_, t)| t < taken);
--- a/crates/gateway/src/room_sync.rs
+++ b/crates/gateway/src/room_sync.rs
@@ -2,7 +2,7 @@
 
 use log::{info, warn};
 use rwd_placement::{Offer, Room, Timestamp};
-use rwd_types::PoolName;
+use rwd_types::{InstanceName, PoolName};
 use rwd_wire::{MAX_ROOM_ROWS, MAX_SHARE_ROWS, ShardReport, ShardRoom};
 use std::sync::{Arc, Mutex, MutexGuard};
 
@@ -76,18 +76,18 @@
         checked.is_ok()
     }
 
-    /// Rooms for the home node of an offer, if it is time to send them.
-    pub fn relay(&self, offer: &Offer, granted: bool) -> Option<Vec<ShardRoom>> {
-        let own = ShardKey::of(&offer.pool);
-        let now = clock::now();
-        let mut inner = self.lock();
-        if !inner.relay.is_due(&offer.home, own, granted, now) {
-            return None;
-        }
-        let shards = self.shards.siblings(&offer.pool);
+    /// Whether the reply to a home node's offer carries rooms.
+    pub fn is_relay_due(&self, home: &InstanceName, shard: &PoolName, granted: bool) -> bool {
+        let key = ShardKey::of(shard);
+        self.shards.is_split(shard) && self.lock().relay.is_due(home, key, granted, clock::now())
+    }
+
+    /// Rooms of the shards of a pool, that of `shard` first.
+    pub fn relay(&self, shard: &PoolName) -> Vec<ShardRoom> {
+        let shards = self.shards.siblings(shard);
         let keys = shards.iter().map(|s| ShardKey::of(&s.name));
-        let rows = inner.rooms.rows(own, keys, &mut rand::rng(), now);
-        (shards.len() > 1 && !rows.is_empty()).then_some(rows)
+        let rooms = &self.lock().rooms;
+        rooms.rows(ShardKey::of(shard), keys, &mut rand::rng(), clock::now())
     }
 
     /// Chooses the next shard for a request, and counts the offer.
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -103,6 +103,13 @@
         pool.cloned().unwrap_or_default()
     }
 
+    /// Whether a shard is a part of a pool that has others.
+    pub fn is_split(&self, shard: &PoolName) -> bool {
+        let by_pool = self.lock();
+        let is_part = |s: &Vec<Shard>| s.len() > 1 && s.iter().any(|s| s.name == *shard);
+        by_pool.values().any(is_part)
+    }
+
     /// The shards of a pool in the order to try them: those of `zone` first, otherwise random.
     pub fn of(&self, pool: &PoolName, zone: &ZoneName) -> Vec<Shard> {
         let mut shards = self.lock().get(pool).cloned().unwrap_or_default();
--- a/crates/gateway/tests/room/failures.rs
+++ b/crates/gateway/tests/room/failures.rs
@@ -1,6 +1,7 @@
 //! Lost schedulers, cuts and reports that are lost or late: no worse than without rooms.
 
-use crate::helper::{Outcome, Policy, Scenario, ZONE_RATE, play};
+use crate::helper::{ZONE_RATE, play};
+use crate::scenario::{Outcome, Policy, Scenario};
 
 fn uneven(zone: usize, _: f64) -> f64 {
     match zone {
--- a/crates/gateway/tests/room/main.rs
+++ b/crates/gateway/tests/room/main.rs
@@ -3,4 +3,5 @@
 mod choices;
 mod failures;
 mod helper;
+mod scenario;
 mod waves;
--- a/crates/gateway/tests/room/waves.rs
+++ b/crates/gateway/tests/room/waves.rs
@@ -1,6 +1,7 @@
 //! Loads that differ between zones: served on time against one queue that sees all slots.
 
-use crate::helper::{Outcome, Policy, Scenario, ZONE_RATE, play};
+use crate::helper::{ZONE_RATE, play};
+use crate::scenario::{Outcome, Policy, Scenario};
 use std::f64::consts::TAU;
 
 /// Fraction of what one clairvoyant queue serves on time that is to be reached.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -23,7 +23,7 @@
 pub use crate::offer::{Offer, OfferId, PromptPart, Rank, SlotOutcome, Timestamp};
 pub use crate::registry::TargetEntry;
 pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
-pub use crate::room::{MAX_WAIT_MS, Room};
+pub use crate::room::{MAX_FREE_SLOTS, MAX_WAIT_MS, Room};
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
 pub use crate::share_use::ShareUse;
 pub use crate::target::{Capacity, TargetInfo};
--- a/crates/placement/src/room.rs
+++ b/crates/placement/src/room.rs
@@ -11,6 +11,8 @@
 const RATE_DECAY_MS: f64 = 2000.0;
 /// Upper bound of the expected wait, in milliseconds; longer ones make no difference.
 pub const MAX_WAIT_MS: u32 = 60_000;
+/// Upper bound of the free slots of a room; a list of targets may name any number.
+pub const MAX_FREE_SLOTS: u32 = 1 << 16;
 
 /// The room of a pool.
 ///
@@ -33,7 +35,7 @@
             _ => 0,
         };
         Self {
-            free,
+            free: free.min(MAX_FREE_SLOTS),
             waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
             wait_ms,
         }
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -493,7 +493,10 @@
     fn room(&self, slot_fraction: Option<f64>, now: Timestamp) -> Room {
         let free = match slot_fraction.is_some_and(|f| self.exceeds_slot_fraction(f)) {
             true => 0,
-            false => self.targets.values().map(|t| t.free_slots(now)).sum(),
+            false => {
+                let free = self.targets.values().map(|t| t.free_slots(now));
+                free.fold(0, u32::saturating_add)
+            }
         };
         let is_ahead = |w: &&Waiting| matches!(w.order, Order::Resumed(_) | Order::OnTime(..));
         let ahead = self.waiting.iter().filter(is_ahead).count();
--- a/crates/placement/tests/placement/main.rs
+++ b/crates/placement/tests/placement/main.rs
@@ -5,4 +5,5 @@
 mod limits;
 mod overload;
 mod properties;
+mod rooms;
 mod withheld;
