--- a/crates/gateway/tests/room/choices.rs
+++ b/crates/gateway/tests/room/choices.rs
@@ -4,8 +4,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rwd_gateway::{
-    Choice, Choices, MAX_REPORTED_SHARDS, MAX_ROOM_AGE_MS, Reason, ReportPacer, Rooms, ShardKey,
-    Stage, report_receivers,
+    Choice, Choices, MAX_REPORTED_SHARDS, MAX_ROOM_AGE_MS, Reason, ReportPacer, RoomRelay, Rooms,
+    ShardKey, Stage, report_receivers,
 };
 use rwd_placement::{Offer, Room, Timestamp};
 use rwd_wire::{MAX_ROOM_ROWS, ShardRoom};
@@ -194,3 +194,16 @@
     };
     assert_eq!((reports(free(30)), reports(free(0))), (4, 12));
 }
+
+#[test]
+fn a_home_gets_rooms_at_most_ten_times_a_second_and_twice_while_it_gets_slots() {
+    let replies = |granted| {
+        let mut relay = RoomRelay::default();
+        let key = ShardKey::of(&shard(0).name);
+        let home = "h1".parse().unwrap();
+        let at = |ms: u32| NOW + f64::from(ms);
+        let is_due = |ms: &u32| relay.is_due(&home, key, granted, at(*ms));
+        (0..1000).step_by(5).filter(is_due).count()
+    };
+    assert_eq!((replies(false), replies(true)), (10, 2));
+}
--- a/crates/gateway/tests/room/failures.rs
+++ b/crates/gateway/tests/room/failures.rs
@@ -57,7 +57,7 @@
 /// Reports that are almost too old to be used, with few and with many homes.
 #[test]
 fn late_reports_start_no_herd() {
-    for homes in [84, 388] {
+    for homes in [84, 390] {
         compare(|policy| Scenario {
             homes,
             report_delay_ms: 1100.0,
--- a/crates/gateway/tests/room/helper.rs
+++ b/crates/gateway/tests/room/helper.rs
@@ -119,7 +119,9 @@
         rng: StdRng::seed_from_u64(47),
         shards: (0..shards).map(shard).collect(),
         schedulers: (0..shards).map(|_| new_scheduler()).collect(),
-        rooms: (0..shards + cfg.homes).map(|_| Rooms::default()).collect(),
+        rooms: (0..shards + zones + cfg.homes)
+            .map(|_| Rooms::default())
+            .collect(),
         relays: (0..shards).map(|_| RoomRelay::default()).collect(),
         pacers: (0..shards).map(|_| ReportPacer::default()).collect(),
         requests: Vec::new(),
@@ -348,7 +350,7 @@
                 let rate = (self.cfg.rate)(zone, self.now / 1000.0).max(0.1);
                 let gap_ms = self.exponential(1000.0 / rate);
                 self.after(gap_ms, Event::Arrive(zone));
-                let per_zone = self.cfg.homes / self.cfg.zones;
+                let per_zone = self.cfg.homes.div_ceil(self.cfg.zones);
                 let home = zone + self.cfg.zones * self.load_rng.random_range(0..per_zone);
                 let rest_ms = self.exponential(MEAN_SERVICE_MS - FIRST_MS);
                 self.requests.push(Request {
