--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -95,6 +95,21 @@
             .collect()
     }
 
+    /// The shards of the pool that a shard belongs to, itself included.
+    pub fn siblings(&self, shard: &PoolName) -> Vec<Shard> {
+        let by_pool = self.lock();
+        let mut pools = by_pool.values();
+        let pool = pools.find(|shards| shards.iter().any(|s| s.name == *shard));
+        pool.cloned().unwrap_or_default()
+    }
+
+    /// Whether a shard is a part of a pool that has others.
+    pub fn is_split(&self, shard: &PoolName) -> bool {
+        let by_pool = self.lock();
+        let is_part = |s: &Vec<Shard>| s.len() > 1 && s.iter().any(|s| s.name == *shard);
+        by_pool.values().any(is_part)
+    }
+
     /// The shards of a pool in the order to try them: those of `zone` first, otherwise random.
     pub fn of(&self, pool: &PoolName, zone: &ZoneName) -> Vec<Shard> {
         let mut shards = self.lock().get(pool).cloned().unwrap_or_default();
--- a/crates/placement/tests/placement/main.rs
+++ b/crates/placement/tests/placement/main.rs
@@ -6,4 +6,5 @@
 mod overload;
 mod precedence;
 mod properties;
+mod rooms;
 mod withheld;
