Keep targets within their memory by the worst case of all senders

Cause: a target crashes if the requests that it holds exceed its memory. An empty target took any request, the expected length of responses counted, and only what one scheduler had granted. With scheduling.bounded_memory the prompt and the longest response count, and every scheduler that may send to a target (that of the shard, its successors, home nodes alone, sides of a partition) keeps to a share of its own, so that the sum fits.

Offers carry the longest response. A request that no target may be sent is refused as exceeds-memory. When the link to a home node breaks, the memory of its request counts until its time limit; a withdrawn exchange frees it.

The platform's terms reach the settings as platform_terms, which the adapter alone interprets; one of them switches the bound on.

Ruled out: reading targets' own reports (one probe for each target and scheduler, late), reservations in the store (a write for each request).

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -10,10 +10,11 @@
 use crate::{Error, Result};
 
 /// Runs a node; the first SIGTERM starts a graceful shutdown, further ones are ignored.
-pub(crate) async fn run(cfg: GatewaySettings, file: PathBuf) -> Result<ExitCode> {
+pub(crate) async fn run(mut cfg: GatewaySettings, file: PathBuf) -> Result<ExitCode> {
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Runtime)?;
     let mut hangup = signal(SignalKind::hangup()).map_err(Error::Runtime)?;
     let name = cfg.name.clone();
+    cfg.scheduling = rwd_platform::scheduling(&cfg.platform_terms, cfg.scheduling);
     let store = PlatformStore::new(cfg.store);
     let node = GatewayNode::start(cfg, Some(file), PlatformProtocol, store).await?;
     info!(event = "start", node:% = name; "serving");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod events;
 mod follow;
 mod gateway;
+mod handover;
 mod limits;
 mod local_scheduler;
 mod node;
--- a/crates/gateway/src/local_scheduler.rs
+++ b/crates/gateway/src/local_scheduler.rs
@@ -38,6 +38,8 @@
     id: OfferId,
     decision: oneshot::Receiver<Decision>,
     outcome: SlotOutcome,
+    // Whether the exchange with the home node was lost before the outcome was known.
+    lost: bool,
 }
 
 type PlaceResult = Result<Placed, Declined>;
@@ -80,11 +82,19 @@
     pub fn release(mut self, outcome: SlotOutcome) {
         self.outcome = outcome;
     }
+
+    /// Frees the slot after the exchange with the home node was lost.
+    fn lose(mut self) {
+        self.lost = true;
+    }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.scheduler.finish(self.id, self.outcome);
+        match self.lost {
+            true => self.scheduler.lose(self.id),
+            false => self.scheduler.finish(self.id, self.outcome),
+        }
     }
 }
 
@@ -111,6 +121,13 @@
         inner.deliver_decisions();
     }
 
+    /// The names of a pool's targets.
+    pub fn target_names(&self, pool: &PoolName) -> Vec<TargetName> {
+        let inner = self.lock();
+        let targets = inner.scheduler.targets(pool, clock::now()).into_iter();
+        targets.map(|t| t.name).collect()
+    }
+
     /// Sets the fraction of the nodes that are visible to this one.
     pub fn set_visible_share(&self, share: f64) {
         self.lock().scheduler.set_visible_share(share, clock::now());
@@ -139,6 +156,7 @@
             id,
             decision,
             outcome: SlotOutcome::Unused,
+            lost: false,
         }
     }
 
@@ -149,6 +167,13 @@
         inner.deliver_decisions();
     }
 
+    fn lose(&self, id: OfferId) {
+        let mut inner = self.lock();
+        inner.decisions.swap_remove(&id);
+        inner.scheduler.lose(id, clock::now());
+        inner.deliver_decisions();
+    }
+
     /// Polls the scheduler while offers are waiting, until the task is dropped.
     pub async fn run(self: Arc<Self>) {
         loop {
@@ -189,17 +214,22 @@
             }
         }
         loop {
-            match ex.recv().await? {
-                Some(Message::Begun { first_ms, limit }) => {
+            match ex.recv().await {
+                Ok(Some(Message::Begun { first_ms, limit })) => {
                     ticket.record_limit(limit);
                     ticket.record_first_byte(first_ms);
                 }
-                Some(Message::Release { outcome, limit }) => {
+                Ok(Some(Message::Release { outcome, limit })) => {
                     ticket.record_limit(limit);
                     ticket.release(outcome);
                     return Ok(());
                 }
-                _ => return Ok(()),
+                Err(e) if e.is_withdrawn() => return Ok(()),
+                // Without an outcome, the target may still hold the request.
+                lost => {
+                    ticket.lose();
+                    return lost.map(drop);
+                }
             }
         }
     }
@@ -245,8 +275,11 @@
 impl Inner {
     fn deliver_decisions(&mut self) {
         for (id, decision) in self.scheduler.poll(clock::now()) {
-            if let Decision::Refuse { waited_ms, .. } = &decision {
-                info!(event = "refuse", offer:% = id, waited_ms = *waited_ms as u64, waiting = self.decisions.len(); "offer refused: no slot in time");
+            if let Decision::Refuse {
+                waited_ms, reason, ..
+            } = &decision
+            {
+                info!(event = "refuse", offer:% = id, reason:?, waited_ms = *waited_ms as u64, waiting = self.decisions.len(); "offer refused: no slot in time");
             }
             match self.decisions.swap_remove(&id) {
                 // Sending fails only if the ticket has been dropped or is being dropped.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -165,6 +165,7 @@
             links.clone(),
             shards.clone(),
             replica.clone(),
+            cfg.scheduling.clone(),
         ));
         let gateway = Arc::new(Gateway {
             protocol,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -11,7 +11,7 @@
 /// Retry-after time when no better estimate is known, in milliseconds.
 const RETRY_AFTER_MS: f64 = 500.0;
 
-/// Retry-after time of requests that are blocked, in milliseconds; they will be for minutes.
+/// Retry-after time of requests that are blocked or never fit, in milliseconds; they will be for minutes.
 const BLOCKED_RETRY_AFTER_MS: f64 = 30_000.0;
 
 /// Why a request gets no response from a target.
@@ -56,6 +56,9 @@
     /// Prompts like that of the request crash targets.
     #[display("crashes-targets")]
     CrashesTargets,
+    /// The prompt and the longest response exceed the memory of any target.
+    #[display("exceeds-memory")]
+    ExceedsMemory,
     /// Targets refused the request, or none could be reached; it has not run.
     #[display("not-run")]
     NotRun,
@@ -80,6 +83,7 @@
             | Self::Overload { .. }
             | Self::Held { .. }
             | Self::CrashesTargets
+            | Self::ExceedsMemory
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -100,7 +104,7 @@
             | Self::Held { retry_after_ms } => Some(retry_after_ms),
             // Another node accepts the request immediately.
             Self::Leaving => Some(0.0),
-            Self::CrashesTargets => Some(BLOCKED_RETRY_AFTER_MS),
+            Self::CrashesTargets | Self::ExceedsMemory => Some(BLOCKED_RETRY_AFTER_MS),
             Self::Stale | Self::NotRun => Some(RETRY_AFTER_MS),
             _ => None,
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -324,7 +324,12 @@
     }
 
     async fn acquire_slot(&self, left_ms: f64) -> Result<Slot, Refusal> {
-        let slot = self.gateway.slots.acquire(self.offer());
+        let offer = self.offer();
+        if self.gateway.slots.exceeds_memory(&offer) {
+            info!(event = "exceeds_memory", request:% = offer.request, pool:% = offer.pool, prompt = offer.prompt, max_output = offer.max_output; "the request is larger than the memory of a target may hold");
+            return Err(Refusal::ExceedsMemory);
+        }
+        let slot = self.gateway.slots.acquire(offer);
         let limit = Duration::from_secs_f64(left_ms / 1000.0);
         let acquired = tokio::select! {
             biased;
@@ -408,6 +413,7 @@
             parts: a.head.parts.clone(),
             prompt: a.head.prompt_tokens,
             output: self.gateway.expected_output(a),
+            max_output: a.head.max_output_tokens,
             aim_left_ms: a.arrived + a.route.objective_ms - clock::now(),
             time_left_ms: self.left_ms(),
             home: self.gateway.instance.clone(),
@@ -416,6 +422,7 @@
             beyond_quota: a.beyond_quota,
             returned: a.returned,
             resumes: self.sends > 0,
+            last_resort: false,
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -125,6 +125,7 @@
             learned_capacity: self.learned_capacity,
             bounded_memory: self.bounded_memory,
             prefers_connected: self.prefers_connected,
+            handover: self.handover,
             ..PlacementSettings::default()
         }
     }
@@ -157,6 +158,9 @@
     /// Optional features of scheduling.
     #[serde(default)]
     pub scheduling: Scheduling,
+    /// Terms under which the platform runs the system, in its own words; the adapter interprets them.
+    #[serde(default)]
+    pub platform_terms: Vec<CompactString>,
 }
 
 fn whole_core() -> f64 {
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -6,6 +6,7 @@
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_cpu};
 use rwd_placement::{
     KnownLimits, LimitNotice, LimitReport, Offer, Recipient, SlotOutcome, Timestamp,
+    exceeds_memory, worst_case,
 };
 use rwd_types::{InstanceName, PoolName, TargetName};
 use rwd_wire::{MemberUpdate, Message, Placed};
@@ -18,7 +19,7 @@
 
 use crate::local_scheduler::{LocalScheduler, Ticket};
 use crate::shards::{Shard, Shards};
-use crate::{StoreReplica, clock};
+use crate::{Scheduling, StoreReplica, clock, handover};
 
 /// How long a scheduler may take to acknowledge an offer. A busy one takes longer than the round
 /// trip, and after a failover its successor starts with empty load counts.
@@ -115,6 +116,7 @@
     replica: Arc<StoreReplica>,
     avoided: Mutex<IndexMap<InstanceName, Timestamp>>,
     known_limits: Mutex<KnownLimits>,
+    cfg: Scheduling,
 }
 
 /// An offer that is queued or granted at a scheduler.
@@ -138,6 +140,7 @@
         links: Arc<Links>,
         shards: Arc<Shards>,
         replica: Arc<StoreReplica>,
+        cfg: Scheduling,
     ) -> Self {
         Self {
             instance,
@@ -148,9 +151,17 @@
             replica,
             avoided: Mutex::default(),
             known_limits: Mutex::default(),
+            cfg,
         }
     }
 
+    /// Whether a request is larger than a target of its pool may be sent.
+    pub fn exceeds_memory(&self, offer: &Offer) -> bool {
+        let catalog = self.replica.catalog().filter(|_| self.cfg.bounded_memory);
+        let memory = catalog.and_then(|c| c.pools.get(&offer.pool)?.memory_tokens);
+        memory.is_some_and(|m| exceeds_memory(worst_case(offer), m))
+    }
+
     fn known_limits(&self) -> MutexGuard<'_, KnownLimits> {
         self.known_limits.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -283,12 +294,15 @@
 
     // Makes an offer to the scheduler of a shard, its successors, and finally the local scheduler.
     async fn offer_to(&self, shard: &Shard, offer: &Offer, created: Timestamp) -> Reply {
+        // Whether this node is among the schedulers of the shard.
+        let mut is_own = false;
         for name in self
             .schedulers(shard)
             .into_iter()
             .take(MAX_REMOTE_SCHEDULERS)
         {
             if name == self.instance {
+                is_own = true;
                 break;
             }
             match self.offer_remote(&name, aged(offer, created)).await {
@@ -299,17 +313,22 @@
                 }
             }
         }
+        let mut offer = aged(offer, created);
+        if self.cfg.bounded_memory && offer.prompt > 0 && !is_own {
+            let targets = self.local_scheduler.target_names(&shard.name);
+            handover::mark_last_resort(&mut offer, targets, &self.instance, &self.directory.view());
+        }
         if let Some(own) = self.recipient(&self.instance) {
             let mut known = self.known_limits();
             let limits = known.untold(&offer.pool, &own, clock::now());
             self.local_scheduler.learn_limits(&limits);
             known.mark_told(&limits, &own);
         }
-        let mut ticket = self.local_scheduler.offer(aged(offer, created));
+        let mut ticket = self.local_scheduler.offer(offer);
         match ticket.try_decision() {
             Some(Ok(granted)) => {
                 let open_offer = OpenOffer::Local(ticket);
-                Reply::Slot(open_offer.into_slot(granted, &self.instance, &offer.pool))
+                Reply::Slot(open_offer.into_slot(granted, &self.instance, &shard.name))
             }
             Some(Err(declined)) => Reply::Declined(declined),
             None => Reply::Queued(OpenOffer::Local(ticket)),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -69,6 +69,12 @@
 }
 
 impl Error {
+    /// Whether the peer has withdrawn the exchange on purpose, rather than been lost.
+    pub fn is_withdrawn(&self) -> bool {
+        let cancelled = Some(h2::Reason::CANCEL);
+        matches!(self, Self::Stream(e) if e.is_reset() && e.is_remote() && e.reason() == cancelled)
+    }
+
     /// Whether the peer's address refused the connection, so that its process has ended.
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Io(e) if e.kind() == std::io::ErrorKind::ConnectionRefused)
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,10 +4,12 @@
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
 //! schedules. `queue` has the service order, `returns` says when refused callers retry, `target`
 //! has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
-//! that crash targets, and `request_limit` keeps to the limits that targets name.
+//! that crash targets, `request_limit` keeps to the limits that targets name, and `memory` to their
+//! memory.
 
 mod cache;
 mod crash_ledger;
+mod memory;
 mod offer;
 mod queue;
 mod registry;
@@ -18,6 +20,7 @@
 
 pub use crate::cache::PromptCache;
 pub use crate::crash_ledger::{BlockNews, CrashLedger, CrashNews, CrashReport, shared_parts};
+pub use crate::memory::{exceeds as exceeds_memory, worst_case};
 pub use crate::offer::{Offer, OfferId, PromptPart, Rank, SlotOutcome, Timestamp};
 pub use crate::registry::TargetEntry;
 pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -69,6 +69,8 @@
     pub prompt: u32,
     /// Expected response length in tokens.
     pub output: u32,
+    /// Maximum response length in tokens.
+    pub max_output: u32,
     /// Milliseconds until the latency objective is missed; negative afterwards.
     pub aim_left_ms: f64,
     /// Milliseconds until the caller or the route times out.
@@ -85,6 +87,8 @@
     pub returned: bool,
     /// Whether the request resumes a stream that has produced part of its response.
     pub resumes: bool,
+    /// Whether the home node reaches no scheduler of the pool and asks its own.
+    pub last_resort: bool,
 }
 
 /// How the use of a granted slot ended.
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use crate::memory::{MemoryBound, Role, exceeds, worst_case};
 use crate::queue::{Order, Priority, Waiting};
 use crate::request_limit::RequestLimit;
 use crate::returns::Returns;
@@ -30,6 +31,11 @@
 /// Fraction of the limits of targets that is used during a handover: both schedulers together stay
 /// within one and a half times the limit.
 const HANDOVER_SHARE: f64 = 0.5;
+/// Time after a takeover by which home nodes have reported what is in progress, in milliseconds: they
+/// find a broken link within 700 ms and see another view within two seconds.
+const HANDOVER_REPORT_MS: f64 = 3000.0;
+/// Longest time for which the requests of a predecessor are counted on, in milliseconds.
+const MAX_PREDECESSOR_MS: f64 = 60_000.0;
 /// Limits that are kept of targets that are in no pool: they come back in another one when a pool is
 /// partitioned anew, or are not known to this node yet.
 const MAX_UNPLACED_LIMITS: usize = 512;
@@ -52,6 +58,8 @@
     pub bounded_memory: bool,
     /// Whether targets to which the home node has a connection are preferred.
     pub prefers_connected: bool,
+    /// Whether a scheduler that takes over learns what its predecessor knew.
+    pub handover: bool,
 }
 
 impl Default for PlacementSettings {
@@ -64,6 +72,7 @@
             learned_capacity: false,
             bounded_memory: false,
             prefers_connected: false,
+            handover: false,
         }
     }
 }
@@ -75,6 +84,8 @@
     NoTarget,
     /// No slot came free within the request's maximum wait.
     Overload,
+    /// The request is too large for the memory of any target.
+    TooLarge,
 }
 
 /// What a scheduler decided about an offer.
@@ -117,6 +128,8 @@
     last_offer: Option<Timestamp>,
     // When the scheduler began to get offers for the pool.
     taken_over: Timestamp,
+    // Longest time limit of a request, in milliseconds.
+    longest_ms: f64,
     // The fraction of the limits of targets that is used now.
     limit_share: Option<f64>,
 }
@@ -229,10 +242,13 @@
         let id = OfferId(self.next_id);
         let pool = self.pools.entry(offer.pool.clone()).or_default();
         pool.record_slot_time(&offer);
-        if pool.last_offer.is_none_or(|t| now - t > HANDOVER_MS) {
-            pool.taken_over = now;
+        pool.longest_ms = pool.longest_ms.max(offer.time_left_ms);
+        if !offer.last_resort {
+            if pool.last_offer.is_none_or(|t| now - t > HANDOVER_MS) {
+                pool.taken_over = now;
+            }
+            pool.last_offer = Some(now);
         }
-        pool.last_offer = Some(now);
         pool.waiting.push(Waiting {
             id,
             offer,
@@ -259,6 +275,20 @@
         }
     }
 
+    /// Frees the slot of a request whose exchange with its home node was lost. Its target may still
+    /// hold it, so its memory counts until its time limit.
+    pub fn lose(&mut self, id: OfferId, now: Timestamp) {
+        if self.cfg.bounded_memory
+            && let Some((pool, target)) = self.granted.get(&id)
+        {
+            let pool = self.pools.get_mut(pool);
+            if let Some(t) = pool.and_then(|p| p.targets.get_mut(target)) {
+                t.detach(id, now);
+            }
+        }
+        self.finish(id, SlotOutcome::Unused, now);
+    }
+
     /// Records the first byte of a response, `first_ms` after the request was dispatched.
     pub fn record_first_byte(&mut self, id: OfferId, first_ms: f64, now: Timestamp) {
         let target = self.granted.get(&id).and_then(|(pool, target)| {
@@ -341,6 +371,10 @@
             }
             pool.sort(&self.cfg, now);
             pool.set_limit_share(self.visible_share.unwrap_or(1.0), now);
+            if self.cfg.bounded_memory {
+                let visible_share = self.visible_share.unwrap_or(1.0);
+                pool.bound_memory(visible_share, self.cfg.handover, now);
+            }
             let granted = pool.grant_free_slots(self.slot_fraction, now);
             for (w, target, address, first_ms, proven) in granted {
                 self.granted.insert(w.id, (name.clone(), target.clone()));
@@ -397,6 +431,34 @@
         }
     }
 
+    fn bound_memory(&mut self, visible_share: f64, handover: bool, now: Timestamp) {
+        // Without reports of home nodes, the requests of a predecessor end with their time limits.
+        let unknown_ms = match handover {
+            true => HANDOVER_REPORT_MS,
+            false => self
+                .longest_ms
+                .clamp(HANDOVER_REPORT_MS, MAX_PREDECESSOR_MS),
+        };
+        let role = match now - self.taken_over < unknown_ms {
+            true => Role::Successor,
+            false => Role::Settled,
+        };
+        let bound = MemoryBound {
+            role,
+            visible_share,
+        };
+        let targets = self.targets.values_mut();
+        targets.for_each(|t| t.memory.set_bound(Some(bound)));
+    }
+
+    // Whether no target may ever be sent the request because of its memory.
+    fn is_too_large(&self, offer: &Offer) -> bool {
+        let need = worst_case(offer);
+        let mut targets = self.targets.values().filter(|t| !t.is_leaving()).peekable();
+        let memory = |t: &Target| t.info.capacity.memory_tokens;
+        targets.peek().is_some() && targets.all(|t| memory(t).is_some_and(|m| exceeds(need, m)))
+    }
+
     fn record_slot_time(&mut self, offer: &Offer) {
         let Speed {
             prefill_ms_per_token,
@@ -503,13 +565,15 @@
             // Late requests are served only when no request on time is queued, so their recent
             // service rate predicts the wait.
             let unservable = is_late && f64::from(late_ahead) / late_per_ms > left_ms;
-            if left_ms > 0.0 && !unservable {
+            let too_large = cfg.bounded_memory && self.is_too_large(&w.offer);
+            if left_ms > 0.0 && !unservable && !too_large {
                 late_ahead += i32::from(is_late);
                 index += 1;
                 continue;
             }
             let reason = match active {
                 0 => Refusal::NoTarget,
+                _ if too_large => Refusal::TooLarge,
                 _ => Refusal::Overload,
             };
             let w = self.waiting.remove(index);
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -1,9 +1,11 @@
 //! The scheduler's state of one target, and the cost model of placing a request on it.
 
+use compact_str::CompactString;
 use indexmap::IndexMap;
 use rwd_types::{InstanceName, TargetName, ZoneName};
 use std::net::SocketAddr;
 
+use crate::memory::{TargetMemory, worst_case};
 use crate::request_limit::RequestLimit;
 use crate::{Offer, OfferId, PromptCache, SlotOutcome, Timestamp};
 
@@ -120,8 +122,16 @@
     pub queued_before: f64,
     /// The home node of the request.
     pub home: InstanceName,
+    /// The caller's id of the request.
+    pub request: CompactString,
     /// When the slot was granted.
     pub granted_at: Timestamp,
+    /// When the home node gives up on the request.
+    pub deadline: Timestamp,
+    /// Whether another scheduler granted the slot.
+    pub adopted: bool,
+    /// Whether the home node reached no scheduler of the pool.
+    pub last_resort: bool,
 }
 
 /// Exponential backoff of a target, for one node or for all.
@@ -145,6 +155,7 @@
     pub in_flight: IndexMap<OfferId, InFlight>,
     pub cache: PromptCache,
     pub limit: RequestLimit,
+    pub memory: TargetMemory,
     /// Prompt tokens sent but, by estimate, not processed yet, as of `backlog_at`.
     backlog: f64,
     backlog_at: Timestamp,
@@ -174,6 +185,7 @@
             in_flight: IndexMap::new(),
             cache: PromptCache::default(),
             limit,
+            memory: TargetMemory::default(),
             backlog: 0.0,
             backlog_at: Timestamp::default(),
             prefill_ms_per_token: DEFAULT_PREFILL_MS_PER_TOKEN,
@@ -208,6 +220,10 @@
     /// Whether the target can accept the request now.
     pub fn accepts(&self, offer: &Offer, now: Timestamp) -> bool {
         let fits = match self.info.capacity.memory_tokens {
+            _ if self.memory.is_bounded() => {
+                let in_flight = self.in_flight.values();
+                self.memory.fits(offer, self.info.capacity, in_flight, now)
+            }
             Some(cap) => self.in_flight.is_empty() || self.fits_memory(offer, cap),
             None => true,
         };
@@ -392,11 +408,18 @@
         self.backlog_at = now;
         self.cache.store(&offer.parts, now);
         let in_flight = InFlight {
-            tokens: offer.prompt + offer.output,
+            tokens: match self.memory.is_bounded() {
+                true => worst_case(offer),
+                false => offer.prompt + offer.output,
+            },
             uncached,
             queued_before,
             home: offer.home.clone(),
+            request: offer.request.clone(),
             granted_at: now,
+            deadline: now + offer.time_left_ms,
+            adopted: false,
+            last_resort: offer.last_resort,
         };
         self.limit.take(now);
         self.in_flight.insert(id, in_flight);
@@ -423,6 +446,13 @@
         }
     }
 
+    /// Keeps counting the memory of a request whose slot is about to be freed.
+    pub fn detach(&mut self, id: OfferId, now: Timestamp) {
+        if let Some(f) = self.in_flight.get(&id) {
+            self.memory.detach(f.clone(), now);
+        }
+    }
+
     /// Frees a slot and updates the estimates from the outcome of its request.
     pub fn finish(&mut self, id: OfferId, outcome: SlotOutcome, now: Timestamp) {
         let Some(done) = self.in_flight.swap_remove(&id) else {
--- a/crates/placement/tests/placement/helper.rs
+++ b/crates/placement/tests/placement/helper.rs
@@ -45,6 +45,7 @@
         parts: vec![PromptPart { id: 1, tokens: 50 }],
         prompt: 500,
         output: 100,
+        max_output: 200,
         aim_left_ms: 1000.0,
         time_left_ms: 10_000.0,
         home: "n1".parse().unwrap(),
@@ -53,6 +54,7 @@
         beyond_quota: false,
         returned: false,
         resumes: false,
+        last_resort: false,
     }
 }
 
