Hand over what is in progress and what was learned between schedulers

Cause: a scheduler that takes over started with empty load counts and constants for speeds. With scheduling.handover, home nodes report their slots to the new scheduler of a shard when an exchange breaks or their view changes, and outcomes follow; a scheduler tells the next in rank what it has learned of its targets; a new target starts from the median of its pool.

Ruled out: replicating each grant to a successor (two messages a request, both may be lost together), asking all home nodes (nobody knows whom to wait for).

Tests run: rwd-placement (placement, memory, handover_storms), green.

--- a/crates/gateway/src/local_scheduler.rs
+++ b/crates/gateway/src/local_scheduler.rs
@@ -1,13 +1,13 @@
 //! The local scheduler, which serves the requests of this node and of its peers.
 
 use indexmap::IndexMap;
-use log::info;
+use log::{info, warn};
 use rwd_peer::Exchange;
 use rwd_placement::{
-    Decision, LimitNotice, LimitReport, Offer, OfferId, PlacementSettings, Refusal, Scheduler,
-    SlotOutcome, TargetInfo,
+    Decision, HeldSlot, LimitNotice, LimitReport, MAX_REPORTS, Offer, OfferId, PlacementSettings,
+    Refusal, Scheduler, SlotOutcome, TargetInfo, TargetReport,
 };
-use rwd_types::{PoolName, RequestRate, TargetName};
+use rwd_types::{InstanceName, PoolName, RequestRate, TargetName};
 use rwd_wire::{Message, Placed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -84,7 +84,7 @@
     }
 
     /// Frees the slot after the exchange with the home node was lost.
-    fn lose(mut self) {
+    pub fn lose(mut self) {
         self.lost = true;
     }
 }
@@ -146,6 +146,9 @@
         let (tx, decision) = oneshot::channel();
         let mut inner = self.lock();
         let id = inner.scheduler.offer(offer, clock::now());
+        for pool in inner.scheduler.take_takeovers() {
+            info!(event = "taken_over", pool:%; "scheduling a pool from now on; a safe share of its targets is used until home nodes have reported");
+        }
         inner.decisions.insert(id, tx);
         inner.deliver_decisions();
         if inner.scheduler.has_waiting() {
@@ -160,6 +163,38 @@
         }
     }
 
+    /// Counts a slot that another scheduler granted, unless its target is unknown.
+    pub fn adopt(self: &Arc<Self>, held: &HeldSlot, home: &InstanceName) -> Option<Ticket> {
+        let id = self.lock().scheduler.adopt(held, home, clock::now())?;
+        // Decided already; nothing waits for the decision.
+        let (_, decision) = oneshot::channel();
+        Some(Ticket {
+            scheduler: self.clone(),
+            id,
+            decision,
+            outcome: SlotOutcome::Unused,
+            lost: false,
+        })
+    }
+
+    /// What the successor is told of some of a pool's targets.
+    pub fn reports(&self, pool: &PoolName) -> Vec<TargetReport> {
+        self.lock().scheduler.reports(pool, clock::now())
+    }
+
+    /// Applies what the scheduler of a pool has learned of its targets.
+    pub fn learn(&self, from: &InstanceName, pool: &PoolName, mut reports: Vec<TargetReport>) {
+        reports.truncate(MAX_REPORTS);
+        reports.retain(|r| match r.check() {
+            Ok(()) => true,
+            Err(e) => {
+                warn!(event = "bad_report", peer:% = from, error:% = e; "a report of a target is ignored");
+                false
+            }
+        });
+        self.lock().scheduler.learn(pool, &reports, clock::now());
+    }
+
     fn finish(&self, id: OfferId, outcome: SlotOutcome) {
         let mut inner = self.lock();
         inner.decisions.swap_remove(&id);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -41,7 +41,7 @@
 use crate::store_sync::Follower;
 use crate::{
     Bounds, GatewaySettings, Limits, Lookup, Protocol, Store, StoreError, StoreReplica,
-    WithheldTargets, catalog_sync, clock, follow, store_sync,
+    WithheldTargets, catalog_sync, clock, follow, handover, store_sync,
 };
 
 /// Probe period: a failed node must be out of lookup responses well within their lifetime.
@@ -73,6 +73,10 @@
 const SHARE_PERIOD: Duration = Duration::from_millis(500);
 /// Interval at which schedulers are told of limits of targets that they may not know.
 const LIMITS_PERIOD: Duration = Duration::from_millis(300);
+/// Interval between two checks whether schedulers of slots in use were lost.
+const HANDOVER_PERIOD: Duration = Duration::from_millis(100);
+/// Interval at which schedulers tell their successors of targets.
+const REPORT_PERIOD: Duration = Duration::from_millis(1500);
 /// Period of dropping the holds of targets that have ended.
 const HOLDS_PERIOD: Duration = Duration::from_millis(200);
 /// Interval between two checks of the settings file and of idle connections.
@@ -260,6 +264,10 @@
         ));
         tasks.spawn(scheduler.clone().run());
         tasks.spawn(spread_limits(slots.clone(), timer.clone()));
+        if cfg.scheduling.handover {
+            tasks.spawn(hand_over(slots.clone(), timer.clone()));
+            tasks.spawn(report_targets(slots.clone(), timer.clone()));
+        }
         tasks.spawn(end_holds(withheld, timer.clone()));
         tasks.spawn(crash_guard.clone().run(timer.clone()));
         tasks.spawn(crash_guard.clone().store_blocks(
@@ -513,6 +521,13 @@
                 self.slots.learn_limits(&limits);
                 ex.send_last(&Message::UpToDate).await
             }
+            Message::HeldSlots(slots) => {
+                handover::serve_held(&self.scheduler, &from, slots, ex).await
+            }
+            Message::TargetReports { shard, targets } => {
+                self.scheduler.learn(&from, &shard, targets);
+                ex.send_last(&Message::UpToDate).await
+            }
             Message::AskNews(cursor) => store_sync::serve_pull(&self.replica, cursor, ex).await,
             Message::AskCatalog { version, part } => {
                 catalog_sync::serve_part(&self.replica, version, part, ex).await
@@ -582,6 +597,24 @@
     }
 }
 
+// Reports slots in use to the schedulers that take over.
+async fn hand_over(slots: Arc<Slots>, timer: Timer) {
+    let mut ticks = timer.every(HANDOVER_PERIOD);
+    loop {
+        ticks.tick().await;
+        slots.hand_over().await;
+    }
+}
+
+// Tells the successors of this node what it has learned as a scheduler.
+async fn report_targets(slots: Arc<Slots>, timer: Timer) {
+    let mut ticks = timer.every(REPORT_PERIOD);
+    loop {
+        ticks.tick().await;
+        slots.report_targets().await;
+    }
+}
+
 // Drops the holds of targets that have ended.
 async fn end_holds(withheld: Arc<WithheldTargets>, timer: Timer) {
     let mut ticks = timer.every(HOLDS_PERIOD);
--- a/crates/gateway/src/shards.rs
+++ b/crates/gateway/src/shards.rs
@@ -85,6 +85,11 @@
         old
     }
 
+    /// All shards of all pools.
+    pub fn all(&self) -> Vec<Shard> {
+        self.lock().values().flatten().cloned().collect()
+    }
+
     /// The shards with these names.
     pub fn named(&self, names: &IndexSet<PoolName>) -> Vec<Shard> {
         let by_pool = self.lock();
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -1,7 +1,7 @@
 //! Acquires slots from the scheduler of a request's pool, remote or local.
 
 use futures_util::future::select_all;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use log::{debug, info, warn};
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_cpu};
 use rwd_placement::{
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::handover::{Held, HeldSlots};
 use crate::local_scheduler::{LocalScheduler, Ticket};
 use crate::shards::{Shard, Shards};
 use crate::{Scheduling, StoreReplica, clock, handover};
@@ -50,6 +51,7 @@
 enum SlotHandle {
     Local(Ticket),
     Remote(Box<Exchange>),
+    Held(Held),
 }
 
 /// A granted slot of a target; dropping it releases the slot.
@@ -82,6 +84,7 @@
                 // A lost scheduler is detected when the slot is released.
                 let _ = ex.send(&Message::Begun { first_ms, limit }).await;
             }
+            SlotHandle::Held(held) => held.record_first_byte(first_ms, limit).await,
         }
     }
 
@@ -93,6 +96,7 @@
                 ticket.record_limit(limit);
                 ticket.release(outcome);
             }
+            SlotHandle::Held(held) => held.release(outcome, limit),
             SlotHandle::Remote(ex) => {
                 tokio::spawn(async move {
                     let report = Message::Release { outcome, limit };
@@ -117,6 +121,7 @@
     avoided: Mutex<IndexMap<InstanceName, Timestamp>>,
     known_limits: Mutex<KnownLimits>,
     cfg: Scheduling,
+    held: Arc<HeldSlots>,
 }
 
 /// An offer that is queued or granted at a scheduler.
@@ -152,6 +157,7 @@
             avoided: Mutex::default(),
             known_limits: Mutex::default(),
             cfg,
+            held: Arc::default(),
         }
     }
 
@@ -253,7 +259,7 @@
             let (open_offer, shard) = open.swap_remove(index);
             match result {
                 Ok(Ok(granted)) => {
-                    return Ok(open_offer.into_slot(granted, &self.instance, &shard.name));
+                    return Ok(self.granted_slot(open_offer, granted, &offer, &shard.name));
                 }
                 Ok(Err(d)) => declined = Some(d),
                 Err(e) => {
@@ -280,7 +286,7 @@
         offer: &Offer,
     ) -> Result<Slot, Declined> {
         match open_offer.decision().await {
-            Ok(Ok(granted)) => Ok(open_offer.into_slot(granted, &self.instance, &offer.pool)),
+            Ok(Ok(granted)) => Ok(self.granted_slot(open_offer, granted, offer, &offer.pool)),
             Ok(Err(declined)) => Err(declined),
             Err(e) => {
                 self.record_loss(&open_offer, offer, &e);
@@ -305,7 +311,7 @@
                 is_own = true;
                 break;
             }
-            match self.offer_remote(&name, aged(offer, created)).await {
+            match self.offer_remote(&name, offer, created).await {
                 Ok(reply) => return reply,
                 Err(e) => {
                     info!(event = "scheduler_lost", request:% = offer.request, scheduler:% = name, error:% = e; "trying another scheduler");
@@ -313,10 +319,15 @@
                 }
             }
         }
-        let mut offer = aged(offer, created);
-        if self.cfg.bounded_memory && offer.prompt > 0 && !is_own {
+        let mut own_offer = aged(offer, created);
+        if self.cfg.bounded_memory && own_offer.prompt > 0 && !is_own {
             let targets = self.local_scheduler.target_names(&shard.name);
-            handover::mark_last_resort(&mut offer, targets, &self.instance, &self.directory.view());
+            handover::mark_last_resort(
+                &mut own_offer,
+                targets,
+                &self.instance,
+                &self.directory.view(),
+            );
         }
         if let Some(own) = self.recipient(&self.instance) {
             let mut known = self.known_limits();
@@ -324,11 +335,11 @@
             self.local_scheduler.learn_limits(&limits);
             known.mark_told(&limits, &own);
         }
-        let mut ticket = self.local_scheduler.offer(offer);
+        let mut ticket = self.local_scheduler.offer(own_offer);
         match ticket.try_decision() {
             Some(Ok(granted)) => {
                 let open_offer = OpenOffer::Local(ticket);
-                Reply::Slot(open_offer.into_slot(granted, &self.instance, &shard.name))
+                Reply::Slot(self.granted_slot(open_offer, granted, offer, &shard.name))
             }
             Some(Err(declined)) => Reply::Declined(declined),
             None => Reply::Queued(OpenOffer::Local(ticket)),
@@ -363,7 +374,95 @@
         avoided.insert(name, clock::now() + AVOID_MS);
     }
 
-    async fn offer_remote(&self, name: &InstanceName, offer: Offer) -> rwd_peer::Result<Reply> {
+    fn granted_slot(
+        &self,
+        open_offer: OpenOffer,
+        granted: Placed,
+        offer: &Offer,
+        shard: &PoolName,
+    ) -> Slot {
+        let (scheduler, handle) = match open_offer {
+            OpenOffer::Local(ticket) if self.cfg.handover => {
+                let (target, own) = (granted.target.clone(), &self.instance);
+                let handle = match self.held.add_local(offer, shard, target, own, ticket) {
+                    Ok(held) => SlotHandle::Held(held),
+                    Err(ticket) => SlotHandle::Local(ticket),
+                };
+                (own.clone(), handle)
+            }
+            OpenOffer::Local(ticket) => (self.instance.clone(), SlotHandle::Local(ticket)),
+            OpenOffer::Remote(name, ex) if self.cfg.handover => {
+                let target = granted.target.clone();
+                let handle = match self.held.add(offer, shard, target, name.clone(), ex) {
+                    Ok(held) => SlotHandle::Held(held),
+                    Err(ex) => SlotHandle::Remote(ex),
+                };
+                (name, handle)
+            }
+            OpenOffer::Remote(name, ex) => (name, SlotHandle::Remote(ex)),
+        };
+        Slot {
+            target: granted.target,
+            address: granted.address,
+            first_ms: granted.first_ms,
+            proven: granted.proven,
+            scheduler,
+            shard: shard.clone(),
+            limit: LimitReport::Unknown,
+            handle,
+        }
+    }
+
+    /// Reports the slots in use whose schedulers were lost or have changed.
+    pub async fn hand_over(&self) {
+        let scheduler = |shard: &PoolName| self.scheduler_of(shard);
+        let lost = self
+            .held
+            .hand_over(
+                &self.instance,
+                &self.local_scheduler,
+                &self.links,
+                scheduler,
+            )
+            .await;
+        lost.into_iter().for_each(|name| self.avoid(name));
+    }
+
+    /// Tells the successor of this node, for each shard that it schedules, what it has learned.
+    pub async fn report_targets(&self) {
+        let mut sent = JoinSet::new();
+        for shard in self.shards.all() {
+            let targets = self.local_scheduler.reports(&shard.name);
+            let next = self.schedulers(&shard).into_iter();
+            let next = next.take(2).find(|name| *name != self.instance);
+            let Some(next) = next.filter(|_| !targets.is_empty()) else {
+                continue;
+            };
+            let links = self.links.clone();
+            sent.spawn(async move {
+                let shard = shard.name;
+                let message = Message::TargetReports { shard, targets };
+                // The next report replaces one that is lost.
+                if let Err(e) = links.ask(&next, &message, FIRST_REPLY_TIMEOUT).await {
+                    debug!(peer:% = next, error:% = e; "cannot report targets to the successor");
+                }
+            });
+        }
+        while sent.join_next().await.is_some() {}
+    }
+
+    // The scheduler to which offers of a shard go now.
+    fn scheduler_of(&self, shard: &PoolName) -> Option<InstanceName> {
+        let named = self.shards.named(&IndexSet::from([shard.clone()]));
+        self.schedulers(named.first()?).into_iter().next()
+    }
+
+    async fn offer_remote(
+        &self,
+        name: &InstanceName,
+        offer: &Offer,
+        created: Timestamp,
+    ) -> rwd_peer::Result<Reply> {
         let pool = offer.pool.clone();
         let recipient = self.recipient(name);
         let limits = recipient.as_ref().map(|to| {
@@ -372,7 +471,7 @@
         });
         let limits = limits.unwrap_or_default();
         let message = Message::Place {
-            offer: Box::new(offer),
+            offer: Box::new(aged(offer, created)),
             list_age_ms: self.replica.targets_age_ms(),
             limits: limits.clone(),
         };
@@ -393,7 +492,7 @@
             Message::Queued => Ok(Reply::Queued(open_offer)),
             reply => match parse_decision(reply)? {
                 Ok(granted) => {
-                    let slot = open_offer.into_slot(granted, &self.instance, &pool);
+                    let slot = self.granted_slot(open_offer, granted, offer, &pool);
                     Ok(Reply::Slot(slot))
                 }
                 Err(declined) => Ok(Reply::Declined(declined)),
@@ -410,23 +509,6 @@
             Self::Remote(_, ex) => parse_decision(ex.recv().await?.ok_or(Error::Ended)?),
         }
     }
-
-    fn into_slot(self, granted: Placed, instance: &InstanceName, shard: &PoolName) -> Slot {
-        let (scheduler, handle) = match self {
-            Self::Local(ticket) => (instance.clone(), SlotHandle::Local(ticket)),
-            Self::Remote(name, ex) => (name, SlotHandle::Remote(ex)),
-        };
-        Slot {
-            target: granted.target,
-            address: granted.address,
-            first_ms: granted.first_ms,
-            proven: granted.proven,
-            scheduler,
-            shard: shard.clone(),
-            limit: LimitReport::Unknown,
-            handle,
-        }
-    }
 }
 
 fn parse_decision(reply: Message) -> rwd_peer::Result<Result<Placed, Declined>> {
--- /dev/null
+++ b/crates/placement/src/handover.rs
@@ -0,0 +1,172 @@
+//! What a scheduler learns when it takes over the targets of another one.
+//!
+//! Home nodes report the requests that they have in progress as [`HeldSlot`]s, so that the successor
+//! counts what its targets hold and learns how it ends. The predecessor has sent what it knew of its
+//! targets as [`TargetReport`]s to the node next in rank, which starts from them.
+
+use compact_str::CompactString;
+use derive_more::{Display, Error};
+use rwd_types::{PoolName, TargetName};
+use serde::{Deserialize, Serialize};
+
+/// Share of a target's slots that a scheduler grants until home nodes have reported.
+pub(crate) const SUCCESSOR_SLOT_SHARE: f64 = 0.5;
+/// Time after a takeover by which home nodes whose links broke have reported, in milliseconds: they
+/// find a link broken within 700 ms.
+pub(crate) const SLOT_REPORT_MS: f64 = 1000.0;
+/// Age above which what a predecessor sent is only a hint, in milliseconds.
+pub(crate) const HINT_AGE_MS: f64 = 10_000.0;
+/// Targets in one message of a scheduler to its successor.
+pub const MAX_REPORTS: usize = 16;
+/// Adopted requests of one target.
+pub(crate) const MAX_ADOPTED: usize = 256;
+/// Longest time that a reported request has been or will be in progress, in milliseconds.
+const MAX_HELD_MS: f64 = 3_600_000.0;
+/// Largest plausible speed of a target, in milliseconds for a token.
+const MAX_MS_PER_TOKEN: f64 = 60_000.0;
+/// Longest plausible call of a service, in milliseconds.
+const MAX_CALL_MS: f64 = 3_600_000.0;
+
+/// A report with a value that has no meaning.
+#[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
+#[display("{field} of {target} is out of range")]
+pub struct BadReport {
+    /// The target that the report is about.
+    pub target: TargetName,
+    /// The field.
+    pub field: &'static str,
+}
+
+/// The result of checking a report.
+pub type Result<T> = std::result::Result<T, BadReport>;
+
+/// A granted slot that its home node reports to the shard's new scheduler.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct HeldSlot {
+    /// The shard.
+    pub shard: PoolName,
+    /// The target.
+    pub target: TargetName,
+    /// The caller's id of the request.
+    pub request: CompactString,
+    /// Worst-case memory of the request, in tokens.
+    pub tokens: u32,
+    /// Prompt tokens that the target has not read yet.
+    pub unread: u32,
+    /// Milliseconds since the slot was granted.
+    pub held_ms: f64,
+    /// Milliseconds until the home node gives up on the request.
+    pub left_ms: f64,
+}
+
+impl HeldSlot {
+    /// Checks that all values have a meaning.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that is out of range.
+    pub fn check(&self) -> Result<()> {
+        let fields = [("held_ms", self.held_ms), ("left_ms", self.left_ms)];
+        check(&self.target, fields.map(|(f, v)| (f, v, 0.0, MAX_HELD_MS)))
+    }
+}
+
+/// What the part of a target's state that is learned from its concurrency hands over.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct TargetEstimate {}
+
+/// What a scheduler has learned of a target.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TargetReport {
+    /// The target.
+    pub target: TargetName,
+    /// Start time of its process.
+    pub born: u64,
+    /// Prefill time per token, in milliseconds.
+    pub prefill_ms_per_token: f32,
+    /// Decode time per token, in milliseconds.
+    pub step_ms: f32,
+    /// Duration of a service call, in milliseconds.
+    pub call_ms: f32,
+    /// Recent failure rate, from 0 to 1.
+    pub failures: f32,
+    /// What was learned of its capacity.
+    pub estimate: TargetEstimate,
+}
+
+impl TargetReport {
+    /// Checks that all values have a meaning.
+    ///
+    /// # Errors
+    ///
+    /// Names the first field that is out of range.
+    pub fn check(&self) -> Result<()> {
+        let positive = f64::from(f32::MIN_POSITIVE);
+        let fields = [
+            (
+                "prefill_ms_per_token",
+                self.prefill_ms_per_token,
+                positive,
+                MAX_MS_PER_TOKEN,
+            ),
+            ("step_ms", self.step_ms, positive, MAX_MS_PER_TOKEN),
+            ("call_ms", self.call_ms, positive, MAX_CALL_MS),
+            ("failures", self.failures, 0.0, 1.0),
+        ];
+        check(
+            &self.target,
+            fields.map(|(f, v, min, max)| (f, f64::from(v), min, max)),
+        )
+    }
+}
+
+fn check<const N: usize>(
+    target: &TargetName,
+    fields: [(&'static str, f64, f64, f64); N],
+) -> Result<()> {
+    // A value that is not a number is in no range.
+    let bad = fields
+        .into_iter()
+        .find(|(_, value, min, max)| !(min..=max).contains(&value));
+    match bad {
+        Some((field, ..)) => Err(BadReport {
+            target: target.clone(),
+            field,
+        }),
+        None => Ok(()),
+    }
+}
+
+/// Speeds of a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Speeds {
+    pub prefill_ms_per_token: f64,
+    pub step_ms: f64,
+    pub call_ms: f64,
+}
+
+impl Speeds {
+    /// The medians of several targets; `None` without any.
+    pub fn median(all: &[Self]) -> Option<Self> {
+        let of = |value: fn(&Self) -> f64| {
+            let mut values: Vec<f64> = all.iter().map(value).collect();
+            values.sort_by(f64::total_cmp);
+            values.get(values.len() / 2).copied()
+        };
+        Some(Self {
+            prefill_ms_per_token: of(|s| s.prefill_ms_per_token)?,
+            step_ms: of(|s| s.step_ms)?,
+            call_ms: of(|s| s.call_ms)?,
+        })
+    }
+
+    /// Halfway between these speeds and others.
+    pub fn halfway(self, other: Self) -> Self {
+        let mean = |a: f64, b: f64| (a + b) / 2.0;
+        Self {
+            prefill_ms_per_token: mean(self.prefill_ms_per_token, other.prefill_ms_per_token),
+            step_ms: mean(self.step_ms, other.step_ms),
+            call_ms: mean(self.call_ms, other.call_ms),
+        }
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,11 +4,12 @@
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
 //! schedules. `queue` has the service order, `returns` says when refused callers retry, `target`
 //! has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
-//! that crash targets, `request_limit` keeps to the limits that targets name, and `memory` to their
-//! memory.
+//! that crash targets, `request_limit` keeps to the limits that targets name, `memory` to their
+//! memory, and `handover` has what a scheduler learns when it takes over.
 
 mod cache;
 mod crash_ledger;
+mod handover;
 mod memory;
 mod offer;
 mod queue;
@@ -20,6 +21,9 @@
 
 pub use crate::cache::PromptCache;
 pub use crate::crash_ledger::{BlockNews, CrashLedger, CrashNews, CrashReport, shared_parts};
+pub use crate::handover::{
+    BadReport, HeldSlot, MAX_REPORTS, Result as HandoverResult, TargetEstimate, TargetReport,
+};
 pub use crate::memory::{exceeds as exceeds_memory, worst_case};
 pub use crate::offer::{Offer, OfferId, PromptPart, Rank, SlotOutcome, Timestamp};
 pub use crate::registry::TargetEntry;
--- a/crates/placement/src/memory.rs
+++ b/crates/placement/src/memory.rs
@@ -14,10 +14,10 @@
 use crate::{Offer, Timestamp};
 
 /// Share of a target's memory for the scheduler of its shard.
-const SETTLED_SHARE: f64 = 0.5;
+const SETTLED_SHARE: f64 = 0.45;
 /// Share of a target's memory for a scheduler that has taken over and may not know all requests that
-/// the target holds. Two of them in a row fit beside the scheduler before them.
-const SUCCESSOR_SHARE: f64 = 0.2;
+/// the target holds. Three of them fit beside the scheduler before them: home nodes try four.
+const SUCCESSOR_SHARE: f64 = 0.15;
 /// Share of a target's memory for the home node that uses the target when it reaches no scheduler.
 const LAST_RESORT_SHARE: f64 = 0.1;
 /// Maximum number of requests of one target that are kept after their home node was lost.
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -1,16 +1,20 @@
 //! The queue of waiting requests, its service order, and admission control.
 
 use indexmap::IndexMap;
-use rwd_types::{PoolName, RequestRate, TargetName};
+use rwd_types::{InstanceName, PoolName, RequestRate, TargetName};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use crate::handover::{MAX_REPORTS, SLOT_REPORT_MS, SUCCESSOR_SLOT_SHARE, Speeds};
 use crate::memory::{MemoryBound, Role, exceeds, worst_case};
 use crate::queue::{Order, Priority, Waiting};
 use crate::request_limit::RequestLimit;
 use crate::returns::Returns;
 use crate::target::Target;
-use crate::{LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
+use crate::{
+    HeldSlot, LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo,
+    TargetReport, Timestamp,
+};
 
 /// Requests that one round may skip because no target fits them.
 const MAX_SKIPPED: usize = 48;
@@ -128,6 +132,8 @@
     last_offer: Option<Timestamp>,
     // When the scheduler began to get offers for the pool.
     taken_over: Timestamp,
+    // Index of the next target that is reported to the successor.
+    next_report: usize,
     // Longest time limit of a request, in milliseconds.
     longest_ms: f64,
     // The fraction of the limits of targets that is used now.
@@ -168,6 +174,8 @@
     // Limits of targets that are in no pool, with the start times of their processes if these are
     // known.
     unplaced_limits: IndexMap<TargetName, (Option<u64>, RequestLimit)>,
+    // Pools that were taken over and not yet returned by `take_takeovers`.
+    takeovers: Vec<PoolName>,
 }
 
 impl Scheduler {
@@ -196,6 +204,10 @@
         state
             .targets
             .retain(|name, t| listed(name) || !t.in_flight.is_empty());
+        let median = match self.cfg.handover {
+            true => state.median_speeds(),
+            false => None,
+        };
         for info in infos {
             match state.targets.get_mut(&info.name) {
                 Some(t) => t.update(info),
@@ -204,7 +216,10 @@
                     let known = known.filter(|(born, _)| born.is_none_or(|b| b == info.born));
                     let limit = known.map_or(RequestLimit::default(), |(_, limit)| limit);
                     let limit = limit.with_share(state.limit_share.unwrap_or(1.0));
-                    let target = Target::new(info, limit);
+                    let mut target = Target::new(info, limit);
+                    if let Some(median) = median {
+                        target.set_speeds(median);
+                    }
                     state.targets.insert(target.info.name.clone(), target);
                 }
             }
@@ -246,6 +261,10 @@
         if !offer.last_resort {
             if pool.last_offer.is_none_or(|t| now - t > HANDOVER_MS) {
                 pool.taken_over = now;
+                if self.cfg.handover {
+                    pool.take_over(now);
+                    self.takeovers.push(offer.pool.clone());
+                }
             }
             pool.last_offer = Some(now);
         }
@@ -375,6 +394,12 @@
                 let visible_share = self.visible_share.unwrap_or(1.0);
                 pool.bound_memory(visible_share, self.cfg.handover, now);
             }
+            if self.cfg.handover {
+                let is_new = now - pool.taken_over < SLOT_REPORT_MS;
+                let share = is_new.then_some(SUCCESSOR_SLOT_SHARE);
+                let targets = pool.targets.values_mut();
+                targets.for_each(|t| t.slot_share = share);
+            }
             let granted = pool.grant_free_slots(self.slot_fraction, now);
             for (w, target, address, first_ms, proven) in granted {
                 self.granted.insert(w.id, (name.clone(), target.clone()));
@@ -393,6 +418,62 @@
         out
     }
 
+    /// The pools that this scheduler has begun to schedule since the last call, if it takes part in
+    /// handovers.
+    pub fn take_takeovers(&mut self) -> Vec<PoolName> {
+        std::mem::take(&mut self.takeovers)
+    }
+
+    /// Counts a request in progress that another scheduler granted, as its home node reports it.
+    ///
+    /// Returns the id for its outcome, or `None` if the target is unknown or has too many.
+    pub fn adopt(
+        &mut self,
+        held: &HeldSlot,
+        home: &InstanceName,
+        now: Timestamp,
+    ) -> Option<OfferId> {
+        // A pool may have been partitioned anew since the slot was granted.
+        let has = |p: &Pool| p.targets.contains_key(&held.target);
+        let pool = match self.pools.get(&held.shard) {
+            Some(p) if has(p) => held.shard.clone(),
+            _ => self.pools.iter().find(|(_, p)| has(p))?.0.clone(),
+        };
+        let target = self.pools.get_mut(&pool)?.targets.get_mut(&held.target)?;
+        let id = OfferId(self.next_id + 1);
+        if let Some(before) = target.adopt(id, held, home, now)? {
+            self.granted.swap_remove(&before);
+        }
+        self.next_id = id.0;
+        self.granted.insert(id, (pool, held.target.clone()));
+        Some(id)
+    }
+
+    /// What the successor is told of a pool's targets, some of them with each call; nothing if this
+    /// scheduler does not schedule the pool.
+    pub fn reports(&mut self, pool: &PoolName, now: Timestamp) -> Vec<TargetReport> {
+        let Some(pool) = self.pools.get_mut(pool).filter(|p| p.is_active(now)) else {
+            return Vec::new();
+        };
+        let count = pool.targets.len().min(MAX_REPORTS);
+        let first = pool.next_report;
+        pool.next_report = (first + count) % pool.targets.len().max(1);
+        let targets = pool.targets.values().cycle().skip(first).take(count);
+        targets.map(|t| t.report(now)).collect()
+    }
+
+    /// Applies what a pool's scheduler has learned, unless this one schedules the pool.
+    pub fn learn(&mut self, pool: &PoolName, reports: &[TargetReport], now: Timestamp) {
+        let Some(pool) = self.pools.get_mut(pool).filter(|p| !p.is_active(now)) else {
+            return;
+        };
+        for report in reports {
+            if let Some(t) = pool.targets.get_mut(&report.target) {
+                t.learn(report, now);
+            }
+        }
+    }
+
     /// Whether any offer is queued, so that the passage of time alone can cause a decision.
     pub fn has_waiting(&self) -> bool {
         self.pools.values().any(|p| !p.waiting.is_empty())
@@ -420,6 +501,21 @@
 type Granted = (Waiting, TargetName, SocketAddr, f64, bool);
 
 impl Pool {
+    fn is_active(&self, now: Timestamp) -> bool {
+        self.last_offer.is_some_and(|t| now - t <= HANDOVER_MS)
+    }
+
+    fn median_speeds(&self) -> Option<Speeds> {
+        let all: Vec<_> = self.targets.values().map(Target::speeds).collect();
+        Speeds::median(&all)
+    }
+
+    fn take_over(&mut self, now: Timestamp) {
+        let median = self.median_speeds();
+        let targets = self.targets.values_mut();
+        targets.for_each(|t| t.take_over(median, now));
+    }
+
     fn set_limit_share(&mut self, visible_share: f64, now: Timestamp) {
         let share = match now - self.taken_over < HANDOVER_MS {
             true => visible_share * HANDOVER_SHARE,
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -5,6 +5,7 @@
 use rwd_types::{InstanceName, TargetName, ZoneName};
 use std::net::SocketAddr;
 
+use crate::handover::{HINT_AGE_MS, HeldSlot, MAX_ADOPTED, Speeds, TargetEstimate, TargetReport};
 use crate::memory::{TargetMemory, worst_case};
 use crate::request_limit::RequestLimit;
 use crate::{Offer, OfferId, PromptCache, SlotOutcome, Timestamp};
@@ -156,6 +157,10 @@
     pub cache: PromptCache,
     pub limit: RequestLimit,
     pub memory: TargetMemory,
+    /// Share of the slots that may be granted until home nodes have reported.
+    pub slot_share: Option<f64>,
+    // When a predecessor's report was applied, until this scheduler grants slots itself.
+    learned_at: Option<Timestamp>,
     /// Prompt tokens sent but, by estimate, not processed yet, as of `backlog_at`.
     backlog: f64,
     backlog_at: Timestamp,
@@ -186,6 +191,8 @@
             cache: PromptCache::default(),
             limit,
             memory: TargetMemory::default(),
+            slot_share: None,
+            learned_at: None,
             backlog: 0.0,
             backlog_at: Timestamp::default(),
             prefill_ms_per_token: DEFAULT_PREFILL_MS_PER_TOKEN,
@@ -235,6 +242,7 @@
             && !self.is_backed_off_for(&offer.home, now)
             && !self.is_held_for(&offer.home, now)
             && self.in_flight.len() < slots
+            && self.is_within_share()
             && self.limit.allows(now)
             && fits
             && !offer.exclude.contains(&self.info.name)
@@ -299,7 +307,18 @@
 
     /// Whether the target is usable, has a free slot and is below its request limit.
     pub fn has_free_slot(&self, now: Timestamp) -> bool {
-        self.is_usable(now) && self.in_flight.len() < self.max_in_flight() && self.limit.allows(now)
+        self.is_usable(now)
+            && self.in_flight.len() < self.max_in_flight()
+            && self.is_within_share()
+            && self.limit.allows(now)
+    }
+
+    // Whether the scheduler may grant a further slot before home nodes have reported.
+    fn is_within_share(&self) -> bool {
+        self.slot_share.is_none_or(|share| {
+            let own = self.in_flight.values().filter(|f| !f.adopted).count();
+            (own as f64) < (self.max_in_flight() as f64 * share).ceil()
+        })
     }
 
     // Concurrent requests sent to the target. Non-LLM services get as many beyond their slots as
@@ -434,6 +453,10 @@
         };
         // Cleared so that `finish` does not count the same sample again.
         let uncached = std::mem::take(&mut f.uncached);
+        if f.adopted {
+            // How much of the prompt was cached is not known.
+            return;
+        }
         let queued_before = f.queued_before;
         self.update_prefill(uncached, queued_before, first_ms);
     }
@@ -446,6 +469,95 @@
         }
     }
 
+    /// Counts a request that another scheduler granted. Returns the id under which the target had it
+    /// already, or `None` if there are too many.
+    pub fn adopt(
+        &mut self,
+        id: OfferId,
+        held: &HeldSlot,
+        home: &InstanceName,
+        now: Timestamp,
+    ) -> Option<Option<OfferId>> {
+        let adopted = self.in_flight.values().filter(|f| f.adopted).count();
+        if adopted >= MAX_ADOPTED {
+            return None;
+        }
+        let is_same = |f: &InFlight| f.home == *home && f.request == held.request;
+        let before = self.in_flight.iter().find(|(_, f)| is_same(f));
+        let before = before.map(|(id, _)| *id);
+        if let Some(id) = before {
+            self.in_flight.swap_remove(&id);
+        }
+        self.memory.attach(home, &held.request);
+        self.backlog = self.backlog(now) + f64::from(held.unread);
+        self.backlog_at = now;
+        let in_flight = InFlight {
+            tokens: held.tokens,
+            uncached: held.unread,
+            queued_before: 0.0,
+            home: home.clone(),
+            request: held.request.clone(),
+            granted_at: now + -held.held_ms,
+            deadline: now + held.left_ms,
+            adopted: true,
+            last_resort: false,
+        };
+        self.in_flight.insert(id, in_flight);
+        Some(before)
+    }
+
+    pub fn speeds(&self) -> Speeds {
+        Speeds {
+            prefill_ms_per_token: self.prefill_ms_per_token,
+            step_ms: self.step_ms,
+            call_ms: self.call_ms,
+        }
+    }
+
+    pub fn set_speeds(&mut self, speeds: Speeds) {
+        self.prefill_ms_per_token = speeds.prefill_ms_per_token;
+        self.step_ms = speeds.step_ms;
+        self.call_ms = speeds.call_ms;
+    }
+
+    /// What this scheduler tells its successor.
+    pub fn report(&self, now: Timestamp) -> TargetReport {
+        TargetReport {
+            target: self.info.name.clone(),
+            born: self.info.born,
+            prefill_ms_per_token: self.prefill_ms_per_token as f32,
+            step_ms: self.step_ms as f32,
+            call_ms: self.call_ms as f32,
+            failures: self.failures(now) as f32,
+            estimate: TargetEstimate::default(),
+        }
+    }
+
+    /// Applies what the scheduler of the shard has learned.
+    pub fn learn(&mut self, report: &TargetReport, now: Timestamp) {
+        if report.born != self.info.born {
+            return;
+        }
+        self.set_speeds(Speeds {
+            prefill_ms_per_token: f64::from(report.prefill_ms_per_token),
+            step_ms: f64::from(report.step_ms),
+            call_ms: f64::from(report.call_ms),
+        });
+        self.failures = f64::from(report.failures);
+        self.failures_at = now;
+        self.learned_at = Some(now);
+    }
+
+    /// Takes over what was learned: an old report counts half beside the targets of its pool.
+    pub fn take_over(&mut self, median: Option<Speeds>, now: Timestamp) {
+        match (self.learned_at.take(), median) {
+            (Some(at), Some(median)) if now - at > HINT_AGE_MS => {
+                self.set_speeds(self.speeds().halfway(median));
+            }
+            _ => (),
+        }
+    }
+
     /// Keeps counting the memory of a request whose slot is about to be freed.
     pub fn detach(&mut self, id: OfferId, now: Timestamp) {
         if let Some(f) = self.in_flight.get(&id) {
@@ -520,7 +632,9 @@
             update_ewma(&mut self.call_ms, first_ms + rest_ms);
             return;
         }
-        self.update_prefill(done.uncached, done.queued_before, first_ms);
+        if !done.adopted {
+            self.update_prefill(done.uncached, done.queued_before, first_ms);
+        }
         if output >= MIN_STEP_SAMPLE {
             update_ewma(&mut self.step_ms, rest_ms / f64::from(output));
         }
--- a/crates/placement/tests/placement/main.rs
+++ b/crates/placement/tests/placement/main.rs
@@ -1,6 +1,7 @@
 //! Tests of placement under given load patterns, without a network.
 
 mod choice;
+mod handover;
 mod helper;
 mod limits;
 mod overload;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -438,4 +438,33 @@
         /// What is new, or all that the sender knows if that differs from what the receiver knows.
         news: Box<rwd_placement::CrashNews>,
     },
+    /// Reports granted slots to the new scheduler of their shards; the reply is
+    /// [`Message::UpToDate`], and the stream stays open until their requests have ended.
+    HeldSlots(Vec<(u64, rwd_placement::HeldSlot)>),
+    /// As [`Message::Begun`], for one of the reported slots.
+    HeldBegun {
+        /// The key of the slot in the report.
+        key: u64,
+        /// Time to the first byte since the request was sent, in milliseconds.
+        first_ms: f64,
+        /// What the response says about the target's request limit.
+        limit: rwd_placement::LimitReport,
+    },
+    /// As [`Message::Release`], for one of the reported slots.
+    HeldRelease {
+        /// The key of the slot in the report.
+        key: u64,
+        /// How its use ended.
+        outcome: rwd_placement::SlotOutcome,
+        /// What the response says about the target's request limit.
+        limit: rwd_placement::LimitReport,
+    },
+    /// What the scheduler of a shard has learned, for its successor; the reply is
+    /// [`Message::UpToDate`].
+    TargetReports {
+        /// The shard.
+        shard: PoolName,
+        /// Some of its targets.
+        targets: Vec<rwd_placement::TargetReport>,
+    },
 }
