Let a successor wait for the first reports of home nodes

Cause: between the loss of a scheduler and the reports of home nodes its successor granted slots that were in use. If the next in rank was told of targets within the last 4 s it grants nothing for 150 ms; a pool that was only idle is not held up.

The lab's test kills the scheduler of three real nodes while all slots of a target are in use: with hand-over the target never works on more requests than it has slots; without, it does.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -74,7 +74,7 @@
 /// Interval at which schedulers are told of limits of targets that they may not know.
 const LIMITS_PERIOD: Duration = Duration::from_millis(300);
 /// Interval between two checks whether schedulers of slots in use were lost.
-const HANDOVER_PERIOD: Duration = Duration::from_millis(100);
+const HANDOVER_PERIOD: Duration = Duration::from_millis(50);
 /// Interval at which schedulers tell their successors of targets.
 const REPORT_PERIOD: Duration = Duration::from_millis(1500);
 /// Period of dropping the holds of targets that have ended.
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -135,6 +135,9 @@
     // Behaviours for requests from the start of a stream, and for those that resume one.
     resume_script: Option<(Behaviour, Behaviour)>,
     arrivals: Vec<Arrival>,
+    // Requests on which it works now, and the most at any time.
+    running: usize,
+    most_running: usize,
     // The part of a prompt that crashes the target, and how long it is down then.
     crashes_on: Option<(String, Duration)>,
     // The value of `Server-Limit` in its responses.
@@ -270,6 +273,11 @@
         lock(&self.shared).arrivals.clone()
     }
 
+    /// The most requests on which it has worked at any time, each for its work time.
+    pub fn most_running(&self) -> usize {
+        lock(&self.shared).most_running
+    }
+
     /// Waits until `count` requests have reached it.
     pub async fn await_arrivals(&self, count: usize) {
         let mut arrived = self.arrived.subscribe();
@@ -408,7 +416,13 @@
             )
         };
         if arrival.started && !work_time.is_zero() {
+            {
+                let mut shared = lock(shared);
+                shared.running += 1;
+                shared.most_running = shared.most_running.max(shared.running);
+            }
             tokio::time::sleep(work_time).await;
+            lock(shared).running -= 1;
         }
         headers.extend(limit.map(|limit| ("Server-Limit".to_owned(), limit)));
         let bytes = with_headers(bytes, &headers);
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod cut_heads;
 mod failed_resumes;
 mod gossip;
+mod handover;
 mod helper;
 mod large_configuration;
 mod late_refusals;
--- a/crates/placement/src/handover.rs
+++ b/crates/placement/src/handover.rs
@@ -10,10 +10,15 @@
 use serde::{Deserialize, Serialize};
 
 /// Share of a target's slots that a scheduler grants until home nodes have reported.
-pub(crate) const SUCCESSOR_SLOT_SHARE: f64 = 0.5;
+const SUCCESSOR_SLOT_SHARE: f64 = 0.5;
 /// Time after a takeover by which home nodes whose links broke have reported, in milliseconds: they
 /// find a link broken within 700 ms.
-pub(crate) const SLOT_REPORT_MS: f64 = 1000.0;
+const SLOT_REPORT_MS: f64 = 1000.0;
+/// Time after a takeover from a scheduler that was active until then in which no slot is granted, in
+/// milliseconds: home nodes report slots whose links were reset within 100 ms.
+const HOLD_MS: f64 = 150.0;
+/// Age up to which a report of a predecessor shows that it was active, in milliseconds.
+pub(crate) const ACTIVE_REPORT_MS: f64 = 4000.0;
 /// Age above which what a predecessor sent is only a hint, in milliseconds.
 pub(crate) const HINT_AGE_MS: f64 = 10_000.0;
 /// Targets in one message of a scheduler to its successor.
@@ -137,6 +142,16 @@
     }
 }
 
+/// Share of a target's slots that a scheduler may grant itself so long after it has taken over, in
+/// milliseconds; `None` if that is all of them.
+pub(crate) fn slot_share(since_ms: f64, had_predecessor: bool) -> Option<f64> {
+    match since_ms {
+        ms if ms < HOLD_MS && had_predecessor => Some(0.0),
+        ms if ms < SLOT_REPORT_MS => Some(SUCCESSOR_SLOT_SHARE),
+        _ => None,
+    }
+}
+
 /// Speeds of a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Speeds {
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use crate::handover::{MAX_REPORTS, SLOT_REPORT_MS, SUCCESSOR_SLOT_SHARE, Speeds};
+use crate::handover::{ACTIVE_REPORT_MS, MAX_REPORTS, Speeds, slot_share};
 use crate::memory::{MemoryBound, Role, exceeds, worst_case};
 use crate::queue::{Order, Priority, Waiting};
 use crate::request_limit::RequestLimit;
@@ -132,6 +132,10 @@
     last_offer: Option<Timestamp>,
     // When the scheduler began to get offers for the pool.
     taken_over: Timestamp,
+    // When another scheduler of the pool last reported its targets.
+    reported: Option<Timestamp>,
+    // Whether another scheduler was active just before this one took over.
+    had_predecessor: bool,
     // Index of the next target that is reported to the successor.
     next_report: usize,
     // Longest time limit of a request, in milliseconds.
@@ -395,8 +399,7 @@
                 pool.bound_memory(visible_share, self.cfg.handover, now);
             }
             if self.cfg.handover {
-                let is_new = now - pool.taken_over < SLOT_REPORT_MS;
-                let share = is_new.then_some(SUCCESSOR_SLOT_SHARE);
+                let share = slot_share(now - pool.taken_over, pool.had_predecessor);
                 let targets = pool.targets.values_mut();
                 targets.for_each(|t| t.slot_share = share);
             }
@@ -467,6 +470,7 @@
         let Some(pool) = self.pools.get_mut(pool).filter(|p| !p.is_active(now)) else {
             return;
         };
+        pool.reported = Some(now);
         for report in reports {
             if let Some(t) = pool.targets.get_mut(&report.target) {
                 t.learn(report, now);
@@ -511,6 +515,8 @@
     }
 
     fn take_over(&mut self, now: Timestamp) {
+        let reported = self.reported.take();
+        self.had_predecessor = reported.is_some_and(|t| now - t < ACTIVE_REPORT_MS);
         let median = self.median_speeds();
         let targets = self.targets.values_mut();
         targets.for_each(|t| t.take_over(median, now));
