--- a/crates/gateway/src/local_scheduler.rs
+++ b/crates/gateway/src/local_scheduler.rs
@@ -1,11 +1,11 @@
 //! The local scheduler, which serves the requests of this node and of its peers.
 
 use indexmap::IndexMap;
-use log::info;
+use log::{info, warn};
 use rwd_peer::Exchange;
 use rwd_placement::{
-    Decision, LimitNotice, LimitReport, Offer, OfferId, PlacementSettings, Refusal, Room,
-    Scheduler, SlotOutcome, TargetInfo,
+    Decision, HeldSlot, LimitNotice, LimitReport, MAX_REPORTS, Offer, OfferId, PlacementSettings,
+    Refusal, Room, Scheduler, SlotOutcome, TargetInfo, TargetReport,
 };
 use rwd_types::{InstanceName, PoolName, RequestRate, TargetName};
 use rwd_wire::{Message, Placed, ShardReport, ShardRoom};
@@ -42,6 +42,8 @@
     id: OfferId,
     decision: oneshot::Receiver<Decision>,
     outcome: SlotOutcome,
+    // Whether the exchange with the home node was lost before the outcome was known.
+    lost: bool,
 }
 
 type PlaceResult = Result<Placed, Declined>;
@@ -84,11 +86,19 @@
     pub fn release(mut self, outcome: SlotOutcome) {
         self.outcome = outcome;
     }
+
+    /// Frees the slot after the exchange with the home node was lost.
+    pub fn lose(mut self) {
+        self.lost = true;
+    }
 }
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        self.scheduler.finish(self.id, self.outcome);
+        match self.lost {
+            true => self.scheduler.lose(self.id),
+            false => self.scheduler.finish(self.id, self.outcome),
+        }
     }
 }
 
@@ -116,6 +126,13 @@
         inner.deliver_decisions();
     }
 
+    /// The names of a pool's targets.
+    pub fn target_names(&self, pool: &PoolName) -> Vec<TargetName> {
+        let inner = self.lock();
+        let targets = inner.scheduler.targets(pool, clock::now()).into_iter();
+        targets.map(|t| t.name).collect()
+    }
+
     /// Sets the fraction of the nodes that are visible to this one.
     pub fn set_visible_share(&self, share: f64) {
         self.lock().scheduler.set_visible_share(share, clock::now());
@@ -175,6 +192,9 @@
         let (tx, decision) = oneshot::channel();
         let mut inner = self.lock();
         let id = inner.scheduler.offer(offer, clock::now());
+        for pool in inner.scheduler.take_takeovers() {
+            info!(event = "taken_over", pool:%; "scheduling a pool from now on; a safe share of its targets is used until home nodes have reported");
+        }
         inner.decisions.insert(id, tx);
         inner.deliver_decisions();
         if inner.scheduler.has_waiting() {
@@ -185,9 +205,42 @@
             id,
             decision,
             outcome: SlotOutcome::Unused,
+            lost: false,
         }
     }
 
+    /// Counts a slot that another scheduler granted, unless its target is unknown.
+    pub fn adopt(self: &Arc<Self>, held: &HeldSlot, home: &InstanceName) -> Option<Ticket> {
+        let id = self.lock().scheduler.adopt(held, home, clock::now())?;
+        // Decided already; nothing waits for the decision.
+        let (_, decision) = oneshot::channel();
+        Some(Ticket {
+            scheduler: self.clone(),
+            id,
+            decision,
+            outcome: SlotOutcome::Unused,
+            lost: false,
+        })
+    }
+
+    /// What the successor is told of some of a pool's targets.
+    pub fn target_reports(&self, pool: &PoolName) -> Vec<TargetReport> {
+        self.lock().scheduler.reports(pool, clock::now())
+    }
+
+    /// Applies what the scheduler of a pool has learned of its targets.
+    pub fn learn(&self, from: &InstanceName, pool: &PoolName, mut reports: Vec<TargetReport>) {
+        reports.truncate(MAX_REPORTS);
+        reports.retain(|r| match r.check() {
+            Ok(()) => true,
+            Err(e) => {
+                warn!(event = "bad_report", peer:% = from, error:% = e; "a report of a target is ignored");
+                false
+            }
+        });
+        self.lock().scheduler.learn(pool, &reports, clock::now());
+    }
+
     fn finish(&self, id: OfferId, outcome: SlotOutcome) {
         let mut inner = self.lock();
         inner.decisions.swap_remove(&id);
@@ -195,6 +248,13 @@
         inner.deliver_decisions();
     }
 
+    fn lose(&self, id: OfferId) {
+        let mut inner = self.lock();
+        inner.decisions.swap_remove(&id);
+        inner.scheduler.lose(id, clock::now());
+        inner.deliver_decisions();
+    }
+
     /// Polls the scheduler while offers are waiting, until the task is dropped.
     pub async fn run(self: Arc<Self>) {
         loop {
@@ -241,17 +301,22 @@
             }
         }
         loop {
-            match ex.recv().await? {
-                Some(Message::Begun { first_ms, limit }) => {
+            match ex.recv().await {
+                Ok(Some(Message::Begun { first_ms, limit })) => {
                     ticket.record_limit(limit);
                     ticket.record_first_byte(first_ms);
                 }
-                Some(Message::Release { outcome, limit }) => {
+                Ok(Some(Message::Release { outcome, limit })) => {
                     ticket.record_limit(limit);
                     ticket.release(outcome);
                     return Ok(());
                 }
-                _ => return Ok(()),
+                Err(e) if e.is_withdrawn() => return Ok(()),
+                // Without an outcome, the target may still hold the request.
+                lost => {
+                    ticket.lose();
+                    return lost.map(drop);
+                }
             }
         }
     }
@@ -297,8 +362,11 @@
 impl Inner {
     fn deliver_decisions(&mut self) {
         for (id, decision) in self.scheduler.poll(clock::now()) {
-            if let Decision::Refuse { waited_ms, .. } = &decision {
-                info!(event = "refuse", offer:% = id, waited_ms = *waited_ms as u64, waiting = self.decisions.len(); "offer refused: no slot in time");
+            if let Decision::Refuse {
+                waited_ms, reason, ..
+            } = &decision
+            {
+                info!(event = "refuse", offer:% = id, reason:?, waited_ms = *waited_ms as u64, waiting = self.decisions.len(); "offer refused: no slot in time");
             }
             match self.decisions.swap_remove(&id) {
                 // Sending fails only if the ticket has been dropped or is being dropped.
--- a/crates/gateway/src/slots/spill.rs
+++ b/crates/gateway/src/slots/spill.rs
@@ -84,7 +84,7 @@
                     let (open_offer, choice) = wait.open.swap_remove(index);
                     match result {
                         Ok(Ok(granted)) => {
-                            let slot = open_offer.into_slot(granted, &self.instance, &choice.shard.name);
+                            let slot = self.granted_slot(open_offer, granted, &offer, &choice.shard.name);
                             return Ok(self.taken(sync, slot, &choice, &offer));
                         }
                         Ok(Err(d)) => wait.declined = Some(d),
--- a/crates/gateway/tests/room/helper.rs
+++ b/crates/gateway/tests/room/helper.rs
@@ -55,6 +55,8 @@
         returned: false,
         resumes: false,
         reuse_ms: 500.0,
+        max_output: 0,
+        last_resort: false,
     }
 }
 
--- a/crates/lab/tests/limit_storms.rs
+++ b/crates/lab/tests/limit_storms.rs
@@ -515,6 +515,8 @@
             returned: false,
             resumes: call.tries > 0,
             reuse_ms: 500.0,
+            max_output: 0,
+            last_resort: false,
         };
         let now = at(self.now);
         let incarnation = self.nodes[to].incarnation;
--- a/crates/lab/tests/withheld_storms.rs
+++ b/crates/lab/tests/withheld_storms.rs
@@ -234,6 +234,8 @@
             returned: false,
             resumes: false,
             reuse_ms: 500.0,
+            max_output: 0,
+            last_resort: false,
         };
         let s = &mut self.schedulers[n];
         let id = s.scheduler.offer(offer, Timestamp(self.now));
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,13 +3,17 @@
 //! The crate does no I/O and reads no clock: callers pass the time and carry out
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
 //! schedules. `queue` has the service order, `precedence` corrects it for route priorities that
-//! fall behind lower ones, `returns` says when refused callers retry, `room` how much room a pool
-//! has, `target` has the cost model, `connections` its part for connections, `cache` estimates the content of prefix caches, `crash_ledger`
-//! finds prompts that crash targets, and `request_limit` keeps to the limits that targets name.
+//! fall behind lower ones, `returns` says when refused callers retry, and `room` how much room a
+//! pool has. `target` has the cost model, `connections` its part for connections, and `cache`
+//! estimates the content of prefix caches. `request_limit` keeps to the limits that targets name,
+//! `memory` to their memory, and `crash_ledger` finds prompts that crash them. `handover` has what
+//! a scheduler learns when it takes over.
 
 mod cache;
 mod connections;
 mod crash_ledger;
+mod handover;
+mod memory;
 mod offer;
 mod precedence;
 mod queue;
@@ -23,6 +27,10 @@
 
 pub use crate::cache::PromptCache;
 pub use crate::crash_ledger::{BlockNews, CrashLedger, CrashNews, CrashReport, shared_parts};
+pub use crate::handover::{
+    BadReport, HeldSlot, MAX_REPORTS, Result as HandoverResult, TargetEstimate, TargetReport,
+};
+pub use crate::memory::{exceeds as exceeds_memory, worst_case};
 pub use crate::offer::{Offer, OfferId, PromptPart, Rank, SlotOutcome, Timestamp};
 pub use crate::registry::TargetEntry;
 pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -69,6 +69,8 @@
     pub prompt: u32,
     /// Expected response length in tokens.
     pub output: u32,
+    /// Maximum response length in tokens.
+    pub max_output: u32,
     /// Milliseconds until the latency objective is missed; negative afterwards.
     pub aim_left_ms: f64,
     /// Milliseconds until the caller or the route times out.
@@ -88,6 +90,8 @@
     /// How long a connection to a target may have been idle for this request to use it, in
     /// milliseconds.
     pub reuse_ms: f64,
+    /// Whether the home node reaches no scheduler of the pool and asks its own.
+    pub last_resort: bool,
 }
 
 /// How the use of a granted slot ended.
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -1,17 +1,22 @@
 //! The queue of waiting requests, its service order, and admission control.
 
 use indexmap::IndexMap;
-use rwd_types::{PoolName, RequestRate, TargetName};
+use rwd_types::{InstanceName, PoolName, RequestRate, TargetName};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use crate::handover::{ACTIVE_REPORT_MS, MAX_REPORTS, Speeds, slot_share};
+use crate::memory::{MemoryBound, Role, exceeds, worst_case};
 use crate::precedence::Precedence;
 use crate::queue::{Order, Priority, Waiting};
 use crate::request_limit::RequestLimit;
 use crate::returns::Returns;
 use crate::room::{GrantRate, Room};
 use crate::target::Target;
-use crate::{LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
+use crate::{
+    HeldSlot, LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo,
+    TargetReport, Timestamp,
+};
 
 /// Requests that one round may skip because no target fits them.
 const MAX_SKIPPED: usize = 48;
@@ -32,6 +37,11 @@
 /// Fraction of the limits of targets that is used during a handover: both schedulers together stay
 /// within one and a half times the limit.
 const HANDOVER_SHARE: f64 = 0.5;
+/// Time after a takeover by which home nodes have reported what is in progress, in milliseconds: they
+/// find a broken link within 700 ms and see another view within two seconds.
+const HANDOVER_REPORT_MS: f64 = 3000.0;
+/// Longest time for which the requests of a predecessor are counted on, in milliseconds.
+const MAX_PREDECESSOR_MS: f64 = 60_000.0;
 /// Limits that are kept of targets that are in no pool: they come back in another one when a pool is
 /// partitioned anew, or are not known to this node yet.
 const MAX_UNPLACED_LIMITS: usize = 512;
@@ -56,6 +66,8 @@
     pub bounded_memory: bool,
     /// Whether targets to which the home node has a connection are preferred.
     pub prefers_connected: bool,
+    /// Whether a scheduler that takes over learns what its predecessor knew.
+    pub handover: bool,
 }
 
 impl Default for PlacementSettings {
@@ -69,6 +81,7 @@
             learned_capacity: false,
             bounded_memory: false,
             prefers_connected: false,
+            handover: false,
         }
     }
 }
@@ -80,6 +93,8 @@
     NoTarget,
     /// No slot came free within the request's maximum wait.
     Overload,
+    /// The request is too large for the memory of any target.
+    TooLarge,
 }
 
 /// What a scheduler decided about an offer.
@@ -124,6 +139,14 @@
     last_offer: Option<Timestamp>,
     // When the scheduler began to get offers for the pool.
     taken_over: Timestamp,
+    // When another scheduler of the pool last reported its targets.
+    reported: Option<Timestamp>,
+    // Whether another scheduler was active just before this one took over.
+    had_predecessor: bool,
+    // Index of the next target that is reported to the successor.
+    next_report: usize,
+    // Longest time limit of a request, in milliseconds.
+    longest_ms: f64,
     // The fraction of the limits of targets that is used now.
     limit_share: Option<f64>,
 }
@@ -162,6 +185,8 @@
     // Limits of targets that are in no pool, with the start times of their processes if these are
     // known.
     unplaced_limits: IndexMap<TargetName, (Option<u64>, RequestLimit)>,
+    // Pools that were taken over and not yet returned by `take_takeovers`.
+    takeovers: Vec<PoolName>,
 }
 
 impl Scheduler {
@@ -190,6 +215,10 @@
         state
             .targets
             .retain(|name, t| listed(name) || !t.in_flight.is_empty());
+        let median = match self.cfg.handover {
+            true => state.median_speeds(),
+            false => None,
+        };
         for info in infos {
             match state.targets.get_mut(&info.name) {
                 Some(t) => t.update(info),
@@ -198,10 +227,13 @@
                     let known = known.filter(|(born, _)| born.is_none_or(|b| b == info.born));
                     let limit = known.map_or(RequestLimit::default(), |(_, limit)| limit);
                     let limit = limit.with_share(state.limit_share.unwrap_or(1.0));
-                    let target = match self.cfg.prefers_connected {
-                        true => Target::new(info, limit).prefer_connected(),
-                        false => Target::new(info, limit),
-                    };
+                    let mut target = Target::new(info, limit);
+                    if self.cfg.prefers_connected {
+                        target.prefer_connected();
+                    }
+                    if let Some(median) = median {
+                        target.set_speeds(median);
+                    }
                     state.targets.insert(target.info.name.clone(), target);
                 }
             }
@@ -239,10 +271,17 @@
         let id = OfferId(self.next_id);
         let pool = self.pools.entry(offer.pool.clone()).or_default();
         pool.record_slot_time(&offer);
-        if pool.last_offer.is_none_or(|t| now - t > HANDOVER_MS) {
-            pool.taken_over = now;
+        pool.longest_ms = pool.longest_ms.max(offer.time_left_ms);
+        if !offer.last_resort {
+            if pool.last_offer.is_none_or(|t| now - t > HANDOVER_MS) {
+                pool.taken_over = now;
+                if self.cfg.handover {
+                    pool.take_over(now);
+                    self.takeovers.push(offer.pool.clone());
+                }
+            }
+            pool.last_offer = Some(now);
         }
-        pool.last_offer = Some(now);
         pool.waiting.push(Waiting {
             id,
             offer,
@@ -269,6 +308,20 @@
         }
     }
 
+    /// Frees the slot of a request whose exchange with its home node was lost. Its target may still
+    /// hold it, so its memory counts until its time limit.
+    pub fn lose(&mut self, id: OfferId, now: Timestamp) {
+        if self.cfg.bounded_memory
+            && let Some((pool, target)) = self.granted.get(&id)
+        {
+            let pool = self.pools.get_mut(pool);
+            if let Some(t) = pool.and_then(|p| p.targets.get_mut(target)) {
+                t.detach(id, now);
+            }
+        }
+        self.finish(id, SlotOutcome::Unused, now);
+    }
+
     /// Records the first byte of a response, `first_ms` after the request was dispatched.
     pub fn record_first_byte(&mut self, id: OfferId, first_ms: f64, now: Timestamp) {
         let target = self.granted.get(&id).and_then(|(pool, target)| {
@@ -351,6 +404,15 @@
             }
             pool.sort(&self.cfg, now);
             pool.set_limit_share(self.visible_share.unwrap_or(1.0), now);
+            if self.cfg.bounded_memory {
+                let visible_share = self.visible_share.unwrap_or(1.0);
+                pool.bound_memory(visible_share, self.cfg.handover, now);
+            }
+            if self.cfg.handover {
+                let share = slot_share(now - pool.taken_over, pool.had_predecessor);
+                let targets = pool.targets.values_mut();
+                targets.for_each(|t| t.slot_share = share);
+            }
             let granted = pool.grant_free_slots(self.slot_fraction, now);
             pool.grant_rate.record(granted.len(), now);
             for (w, target, address, first_ms, proven) in granted {
@@ -370,6 +432,63 @@
         out
     }
 
+    /// The pools that this scheduler has begun to schedule since the last call, if it takes part in
+    /// handovers.
+    pub fn take_takeovers(&mut self) -> Vec<PoolName> {
+        std::mem::take(&mut self.takeovers)
+    }
+
+    /// Counts a request in progress that another scheduler granted, as its home node reports it.
+    ///
+    /// Returns the id for its outcome, or `None` if the target is unknown or has too many.
+    pub fn adopt(
+        &mut self,
+        held: &HeldSlot,
+        home: &InstanceName,
+        now: Timestamp,
+    ) -> Option<OfferId> {
+        // A pool may have been partitioned anew since the slot was granted.
+        let has = |p: &Pool| p.targets.contains_key(&held.target);
+        let pool = match self.pools.get(&held.shard) {
+            Some(p) if has(p) => held.shard.clone(),
+            _ => self.pools.iter().find(|(_, p)| has(p))?.0.clone(),
+        };
+        let target = self.pools.get_mut(&pool)?.targets.get_mut(&held.target)?;
+        let id = OfferId(self.next_id + 1);
+        if let Some(before) = target.adopt(id, held, home, now)? {
+            self.granted.swap_remove(&before);
+        }
+        self.next_id = id.0;
+        self.granted.insert(id, (pool, held.target.clone()));
+        Some(id)
+    }
+
+    /// What the successor is told of a pool's targets, some of them with each call; nothing if this
+    /// scheduler does not schedule the pool.
+    pub fn reports(&mut self, pool: &PoolName, now: Timestamp) -> Vec<TargetReport> {
+        let Some(pool) = self.pools.get_mut(pool).filter(|p| p.is_active(now)) else {
+            return Vec::new();
+        };
+        let count = pool.targets.len().min(MAX_REPORTS);
+        let first = pool.next_report;
+        pool.next_report = (first + count) % pool.targets.len().max(1);
+        let targets = pool.targets.values().cycle().skip(first).take(count);
+        targets.map(|t| t.report(now)).collect()
+    }
+
+    /// Applies what a pool's scheduler has learned, unless this one schedules the pool.
+    pub fn learn(&mut self, pool: &PoolName, reports: &[TargetReport], now: Timestamp) {
+        let Some(pool) = self.pools.get_mut(pool).filter(|p| !p.is_active(now)) else {
+            return;
+        };
+        pool.reported = Some(now);
+        for report in reports {
+            if let Some(t) = pool.targets.get_mut(&report.target) {
+                t.learn(report, now);
+            }
+        }
+    }
+
     /// Whether any offer is queued, so that the passage of time alone can cause a decision.
     pub fn has_waiting(&self) -> bool {
         self.pools.values().any(|p| !p.waiting.is_empty())
@@ -410,6 +529,23 @@
 type Granted = (Waiting, TargetName, SocketAddr, f64, bool);
 
 impl Pool {
+    fn is_active(&self, now: Timestamp) -> bool {
+        self.last_offer.is_some_and(|t| now - t <= HANDOVER_MS)
+    }
+
+    fn median_speeds(&self) -> Option<Speeds> {
+        let all: Vec<_> = self.targets.values().map(Target::speeds).collect();
+        Speeds::median(&all)
+    }
+
+    fn take_over(&mut self, now: Timestamp) {
+        let reported = self.reported.take();
+        self.had_predecessor = reported.is_some_and(|t| now - t < ACTIVE_REPORT_MS);
+        let median = self.median_speeds();
+        let targets = self.targets.values_mut();
+        targets.for_each(|t| t.take_over(median, now));
+    }
+
     fn set_limit_share(&mut self, visible_share: f64, now: Timestamp) {
         let share = match now - self.taken_over < HANDOVER_MS {
             true => visible_share * HANDOVER_SHARE,
@@ -421,6 +557,34 @@
         }
     }
 
+    fn bound_memory(&mut self, visible_share: f64, handover: bool, now: Timestamp) {
+        // Without reports of home nodes, the requests of a predecessor end with their time limits.
+        let unknown_ms = match handover {
+            true => HANDOVER_REPORT_MS,
+            false => self
+                .longest_ms
+                .clamp(HANDOVER_REPORT_MS, MAX_PREDECESSOR_MS),
+        };
+        let role = match now - self.taken_over < unknown_ms {
+            true => Role::Successor,
+            false => Role::Settled,
+        };
+        let bound = MemoryBound {
+            role,
+            visible_share,
+        };
+        let targets = self.targets.values_mut();
+        targets.for_each(|t| t.memory.set_bound(Some(bound)));
+    }
+
+    // Whether no target may ever be sent the request because of its memory.
+    fn is_too_large(&self, offer: &Offer) -> bool {
+        let need = worst_case(offer);
+        let mut targets = self.targets.values().filter(|t| !t.is_leaving()).peekable();
+        let memory = |t: &Target| t.info.capacity.memory_tokens;
+        targets.peek().is_some() && targets.all(|t| memory(t).is_some_and(|m| exceeds(need, m)))
+    }
+
     fn record_slot_time(&mut self, offer: &Offer) {
         let Speed {
             prefill_ms_per_token,
@@ -550,13 +714,15 @@
             // Late requests are served only when no request on time is queued, so their recent
             // service rate predicts the wait.
             let unservable = is_late && f64::from(late_ahead) / late_per_ms > left_ms;
-            if left_ms > 0.0 && !unservable {
+            let too_large = cfg.bounded_memory && self.is_too_large(&w.offer);
+            if left_ms > 0.0 && !unservable && !too_large {
                 late_ahead += i32::from(is_late);
                 index += 1;
                 continue;
             }
             let reason = match active {
                 0 => Refusal::NoTarget,
+                _ if too_large => Refusal::TooLarge,
                 _ => Refusal::Overload,
             };
             let w = self.waiting.remove(index);
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -1,10 +1,13 @@
 //! The scheduler's state of one target, and the cost model of placing a request on it.
 
+use compact_str::CompactString;
 use indexmap::IndexMap;
 use rwd_types::{InstanceName, TargetName, ZoneName};
 use std::net::SocketAddr;
 
 use crate::connections::Connections;
+use crate::handover::{HINT_AGE_MS, HeldSlot, MAX_ADOPTED, Speeds, TargetEstimate, TargetReport};
+use crate::memory::{TargetMemory, worst_case};
 use crate::request_limit::RequestLimit;
 use crate::{Offer, OfferId, PromptCache, SlotOutcome, Timestamp};
 
@@ -121,8 +124,16 @@
     pub queued_before: f64,
     /// The home node of the request.
     pub home: InstanceName,
+    /// The caller's id of the request.
+    pub request: CompactString,
     /// When the slot was granted.
     pub granted_at: Timestamp,
+    /// When the home node gives up on the request.
+    pub deadline: Timestamp,
+    /// Whether another scheduler granted the slot.
+    pub adopted: bool,
+    /// Whether the home node reached no scheduler of the pool.
+    pub last_resort: bool,
 }
 
 /// Exponential backoff of a target, for one node or for all.
@@ -148,6 +159,11 @@
     pub limit: RequestLimit,
     /// Free connections of home nodes, if these are preferred.
     connections: Option<Connections>,
+    pub memory: TargetMemory,
+    /// Share of the slots that may be granted until home nodes have reported.
+    pub slot_share: Option<f64>,
+    // When a predecessor's report was applied, until this scheduler grants slots itself.
+    learned_at: Option<Timestamp>,
     /// Prompt tokens sent but, by estimate, not processed yet, as of `backlog_at`.
     backlog: f64,
     backlog_at: Timestamp,
@@ -178,6 +194,9 @@
             cache: PromptCache::default(),
             limit,
             connections: None,
+            memory: TargetMemory::default(),
+            slot_share: None,
+            learned_at: None,
             backlog: 0.0,
             backlog_at: Timestamp::default(),
             prefill_ms_per_token: DEFAULT_PREFILL_MS_PER_TOKEN,
@@ -211,14 +230,17 @@
     }
 
     /// Prefers the target for home nodes that have a free connection to it.
-    pub fn prefer_connected(mut self) -> Self {
+    pub fn prefer_connected(&mut self) {
         self.connections = Some(Connections::default());
-        self
     }
 
     /// Whether the target can accept the request now.
     pub fn accepts(&self, offer: &Offer, now: Timestamp) -> bool {
         let fits = match self.info.capacity.memory_tokens {
+            _ if self.memory.is_bounded() => {
+                let in_flight = self.in_flight.values();
+                self.memory.fits(offer, self.info.capacity, in_flight, now)
+            }
             Some(cap) => self.in_flight.is_empty() || self.fits_memory(offer, cap),
             None => true,
         };
@@ -230,6 +252,7 @@
             && !self.is_backed_off_for(&offer.home, now)
             && !self.is_held_for(&offer.home, now)
             && self.in_flight.len() < slots
+            && self.is_within_share()
             && self.limit.allows(now)
             && fits
             && !offer.exclude.contains(&self.info.name)
@@ -294,7 +317,18 @@
 
     /// Whether the target is usable, has a free slot and is below its request limit.
     pub fn has_free_slot(&self, now: Timestamp) -> bool {
-        self.is_usable(now) && self.in_flight.len() < self.max_in_flight() && self.limit.allows(now)
+        self.is_usable(now)
+            && self.in_flight.len() < self.max_in_flight()
+            && self.is_within_share()
+            && self.limit.allows(now)
+    }
+
+    // Whether the scheduler may grant a further slot before home nodes have reported.
+    fn is_within_share(&self) -> bool {
+        self.slot_share.is_none_or(|share| {
+            let own = self.in_flight.values().filter(|f| !f.adopted).count();
+            (own as f64) < (self.max_in_flight() as f64 * share).ceil()
+        })
     }
 
     /// Number of requests like those in progress that the target could take now.
@@ -426,11 +460,18 @@
         self.backlog_at = now;
         self.cache.store(&offer.parts, now);
         let in_flight = InFlight {
-            tokens: offer.prompt + offer.output,
+            tokens: match self.memory.is_bounded() {
+                true => worst_case(offer),
+                false => offer.prompt + offer.output,
+            },
             uncached,
             queued_before,
             home: offer.home.clone(),
+            request: offer.request.clone(),
             granted_at: now,
+            deadline: now + offer.time_left_ms,
+            adopted: false,
+            last_resort: offer.last_resort,
         };
         self.limit.take(now);
         if let Some(c) = &mut self.connections {
@@ -448,6 +489,10 @@
         };
         // Cleared so that `finish` does not count the same sample again.
         let uncached = std::mem::take(&mut f.uncached);
+        if f.adopted {
+            // How much of the prompt was cached is not known.
+            return;
+        }
         let queued_before = f.queued_before;
         self.update_prefill(uncached, queued_before, first_ms);
     }
@@ -460,6 +505,102 @@
         }
     }
 
+    /// Counts a request that another scheduler granted. Returns the id under which the target had it
+    /// already, or `None` if there are too many.
+    pub fn adopt(
+        &mut self,
+        id: OfferId,
+        held: &HeldSlot,
+        home: &InstanceName,
+        now: Timestamp,
+    ) -> Option<Option<OfferId>> {
+        let adopted = self.in_flight.values().filter(|f| f.adopted).count();
+        if adopted >= MAX_ADOPTED {
+            return None;
+        }
+        let is_same = |f: &InFlight| f.home == *home && f.request == held.request;
+        let before = self.in_flight.iter().find(|(_, f)| is_same(f));
+        let before = before.map(|(id, _)| *id);
+        if let Some(id) = before {
+            self.in_flight.swap_remove(&id);
+        }
+        self.memory.attach(home, &held.request);
+        self.backlog = self.backlog(now) + f64::from(held.unread);
+        self.backlog_at = now;
+        let in_flight = InFlight {
+            tokens: held.tokens,
+            uncached: held.unread,
+            queued_before: 0.0,
+            home: home.clone(),
+            request: held.request.clone(),
+            granted_at: now + -held.held_ms,
+            deadline: now + held.left_ms,
+            adopted: true,
+            last_resort: false,
+        };
+        self.in_flight.insert(id, in_flight);
+        Some(before)
+    }
+
+    pub fn speeds(&self) -> Speeds {
+        Speeds {
+            prefill_ms_per_token: self.prefill_ms_per_token,
+            step_ms: self.step_ms,
+            call_ms: self.call_ms,
+        }
+    }
+
+    pub fn set_speeds(&mut self, speeds: Speeds) {
+        self.prefill_ms_per_token = speeds.prefill_ms_per_token;
+        self.step_ms = speeds.step_ms;
+        self.call_ms = speeds.call_ms;
+    }
+
+    /// What this scheduler tells its successor.
+    pub fn report(&self, now: Timestamp) -> TargetReport {
+        TargetReport {
+            target: self.info.name.clone(),
+            born: self.info.born,
+            prefill_ms_per_token: self.prefill_ms_per_token as f32,
+            step_ms: self.step_ms as f32,
+            call_ms: self.call_ms as f32,
+            failures: self.failures(now) as f32,
+            estimate: TargetEstimate::default(),
+        }
+    }
+
+    /// Applies what the scheduler of the shard has learned.
+    pub fn learn(&mut self, report: &TargetReport, now: Timestamp) {
+        if report.born != self.info.born {
+            return;
+        }
+        self.set_speeds(Speeds {
+            prefill_ms_per_token: f64::from(report.prefill_ms_per_token),
+            step_ms: f64::from(report.step_ms),
+            call_ms: f64::from(report.call_ms),
+        });
+        self.failures = f64::from(report.failures);
+        self.failures_at = now;
+        self.learned_at = Some(now);
+    }
+
+    /// Takes over what was learned: an old report counts half beside the targets of its pool.
+    pub fn take_over(&mut self, median: Option<Speeds>, now: Timestamp) {
+        match (self.learned_at.take(), median) {
+            (Some(at), Some(median)) if now - at > HINT_AGE_MS => {
+                self.set_speeds(self.speeds().halfway(median));
+            }
+            _ => (),
+        }
+    }
+
+    /// Keeps counting the memory of a request whose slot is about to be freed.
+    pub fn detach(&mut self, id: OfferId, now: Timestamp) {
+        if let Some(f) = self.in_flight.get(&id) {
+            self.memory.detach(f.clone(), now);
+        }
+    }
+
     /// Frees a slot and updates the estimates from the outcome of its request.
     pub fn finish(&mut self, id: OfferId, outcome: SlotOutcome, now: Timestamp) {
         let Some(done) = self.in_flight.swap_remove(&id) else {
@@ -530,7 +671,9 @@
             update_ewma(&mut self.call_ms, first_ms + rest_ms);
             return;
         }
-        self.update_prefill(done.uncached, done.queued_before, first_ms);
+        if !done.adopted {
+            self.update_prefill(done.uncached, done.queued_before, first_ms);
+        }
         if output >= MIN_STEP_SAMPLE {
             update_ewma(&mut self.step_ms, rest_ms / f64::from(output));
         }
--- a/crates/placement/tests/connections.rs
+++ b/crates/placement/tests/connections.rs
@@ -75,6 +75,8 @@
         returned: false,
         resumes: false,
         reuse_ms: REUSE_MS,
+        max_output: 0,
+        last_resort: false,
     }
 }
 
--- a/crates/placement/tests/placement/helper.rs
+++ b/crates/placement/tests/placement/helper.rs
@@ -45,6 +45,7 @@
         parts: vec![PromptPart { id: 1, tokens: 50 }],
         prompt: 500,
         output: 100,
+        max_output: 200,
         aim_left_ms: 1000.0,
         time_left_ms: 10_000.0,
         home: "n1".parse().unwrap(),
@@ -54,6 +55,7 @@
         returned: false,
         resumes: false,
         reuse_ms: 500.0,
+        last_resort: false,
     }
 }
 
