Share out the slot time of a pool among workspaces

Cause: between workspaces of the same priority the order of service was blind.

Ruled out: the mark as a class above lateness (late requests would displace those on time); strict order by start tag (value and urgency would not count across workspaces).

Off unless scheduling.workspace_shares is set; then nothing is counted.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! The crate does no I/O and reads no clock: callers pass the time and carry out
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
-//! schedules. `queue` has the service order, `returns` says when refused callers retry, `target`
-//! has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
+//! schedules. `queue` has the service order, `shares` the shares of workspaces, `returns` says when
+//! refused callers retry, `target` has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
 //! that crash targets, and `request_limit` keeps to the limits that targets name.
 
 mod cache;
@@ -14,6 +14,7 @@
 mod request_limit;
 mod returns;
 mod scheduler;
+mod shares;
 mod target;
 
 pub use crate::cache::PromptCache;
@@ -22,4 +23,5 @@
 pub use crate::registry::TargetEntry;
 pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
+pub use crate::shares::{ShareOwner, ShareUse};
 pub use crate::target::{Capacity, TargetInfo};
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -15,6 +15,10 @@
     pub offer: Offer,
     pub queued_at: Timestamp,
     pub order: Order,
+    /// Expected time for which it holds a slot, in milliseconds; 0 if no speed is known yet.
+    pub slot_ms: f64,
+    /// How far it is beyond its workspace's share; 0 within it.
+    pub mark: u8,
 }
 
 /// Sort key of the queue; derived `PartialOrd` makes the variants strict classes.
@@ -24,7 +28,8 @@
     Resumed(f64),
     /// Can still meet its latency objective: by priority, then by time left.
     OnTime(Priority, f64),
-    /// Will miss its latency objective: retries first, then by priority, then by time left.
+    /// Will miss its latency objective: retries within their shares first, then by priority, then by
+    /// time left.
     Late(bool, Priority, f64),
     /// Exceeds its workspace's quota.
     OverQuota(Priority, f64),
@@ -36,10 +41,11 @@
 /// (W. E. Smith, "Various optimizers for single-stage production", 1956): a route priority whose
 /// requests take a tenth of the slot time is not starved by one with twice its weight. The slot
 /// time is the mean of the route priority, so that its long requests wait no longer than its short
-/// ones.
+/// ones. Requests beyond their workspace's share go behind the others of its priority.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(crate) struct Priority {
     pub workspace: u8,
+    pub mark: u8,
     pub smith_ratio: f64,
 }
 
@@ -53,7 +59,7 @@
             _ if aim_left > first_ms * ESTIMATE_MARGIN + self.slack_ms() => {
                 Order::OnTime(priority, aim_left)
             }
-            _ => Order::Late(!self.offer.returned, priority, aim_left),
+            _ => Order::Late(!self.offer.returned || self.mark > 0, priority, aim_left),
         }
     }
 
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -1,13 +1,14 @@
 //! The queue of waiting requests, its service order, and admission control.
 
 use indexmap::IndexMap;
-use rwd_types::{PoolName, RequestRate, TargetName};
+use rwd_types::{PoolName, RequestRate, TargetName, WorkspaceName};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use crate::queue::{Order, Priority, Waiting};
 use crate::request_limit::RequestLimit;
 use crate::returns::Returns;
+use crate::shares::{ShareUse, Shares, Weights};
 use crate::target::Target;
 use crate::{LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
 
@@ -109,6 +110,7 @@
     targets: IndexMap<TargetName, Target>,
     waiting: Vec<Waiting>,
     returns: Returns,
+    shares: Shares,
     // Grants to late requests within the last `LATE_WINDOW_MS`.
     late_grants: VecDeque<Timestamp>,
     speed: Speed,
@@ -126,6 +128,20 @@
 struct Speed {
     prefill_ms_per_token: f64,
     step_ms: f64,
+    call_ms: f64,
+}
+
+impl Speed {
+    // Expected slot time of a request, in milliseconds.
+    fn slot_ms(&self, offer: &Offer) -> f64 {
+        match offer.prompt {
+            0 => self.call_ms,
+            prompt => {
+                let prefill_ms = f64::from(prompt) * self.prefill_ms_per_token;
+                prefill_ms + f64::from(offer.output) * self.step_ms
+            }
+        }
+    }
 }
 
 /// State of one target, for status pages and tests.
@@ -152,6 +168,7 @@
     next_id: u64,
     slot_fraction: Option<f64>,
     visible_share: Option<f64>,
+    weights: Weights,
     // Limits of targets that are in no pool, with the start times of their processes if these are
     // known.
     unplaced_limits: IndexMap<TargetName, (Option<u64>, RequestLimit)>,
@@ -238,6 +255,8 @@
             offer,
             queued_at: now,
             order: Order::Resumed(0.0),
+            slot_ms: 0.0,
+            mark: 0,
         });
         id
     }
@@ -246,14 +265,19 @@
     pub fn finish(&mut self, id: OfferId, outcome: SlotOutcome, now: Timestamp) {
         match self.granted.swap_remove(&id) {
             Some((pool, target)) => {
-                let pool = self.pools.get_mut(&pool);
-                if let Some(t) = pool.and_then(|p| p.targets.get_mut(&target)) {
+                let Some(pool) = self.pools.get_mut(&pool) else {
+                    return;
+                };
+                pool.shares.finish(id, now);
+                if let Some(t) = pool.targets.get_mut(&target) {
                     t.finish(id, outcome, now);
                 }
             }
             None => {
                 for pool in self.pools.values_mut() {
-                    pool.waiting.retain(|w| w.id != id);
+                    for w in pool.waiting.extract_if(.., |w| w.id == id) {
+                        pool.shares.withdraw(&w, now);
+                    }
                 }
             }
         }
@@ -339,10 +363,13 @@
             if pool.waiting.is_empty() {
                 continue;
             }
-            pool.sort(&self.cfg, now);
+            pool.sort(&self.cfg, &self.weights, now);
             pool.set_limit_share(self.visible_share.unwrap_or(1.0), now);
             let granted = pool.grant_free_slots(self.slot_fraction, now);
             for (w, target, address, first_ms, proven) in granted {
+                if self.cfg.workspace_shares {
+                    pool.shares.give(&w, now);
+                }
                 self.granted.insert(w.id, (name.clone(), target.clone()));
                 let waited_ms = now - w.queued_at;
                 let decision = Decision::Grant {
@@ -359,6 +386,36 @@
         out
     }
 
+    /// Sets the weights of workspaces in shares of slot time; others weigh 1. Weights that are not
+    /// above zero are ignored.
+    pub fn set_weights(&mut self, mut weights: IndexMap<WorkspaceName, f64>) {
+        weights.retain(|_, weight| weight.is_finite() && *weight > 0.0);
+        self.weights = weights;
+    }
+
+    /// What the workspaces of a pool asked for and were given here lately, for the schedulers of the
+    /// pool's other shards.
+    pub fn share_report(&self, pool: &PoolName, now: Timestamp) -> Vec<ShareUse> {
+        let pool = self.pools.get(pool);
+        pool.map_or_else(Vec::new, |p| p.shares.report(now))
+    }
+
+    /// Takes the report of another shard of the pool, made `age_ms` ago. Returns the number of its
+    /// rows that were ignored because they are invalid or too many.
+    pub fn learn_shares(
+        &mut self,
+        pool: &PoolName,
+        from_shard: &PoolName,
+        age_ms: f64,
+        rows: Vec<ShareUse>,
+        now: Timestamp,
+    ) -> usize {
+        match self.pools.get_mut(pool) {
+            Some(p) if from_shard != pool => p.shares.learn(from_shard, age_ms, rows, now),
+            _ => rows.len(),
+        }
+    }
+
     /// Whether any offer is queued, so that the passage of time alone can cause a decision.
     pub fn has_waiting(&self) -> bool {
         self.pools.values().any(|p| !p.waiting.is_empty())
@@ -401,6 +458,7 @@
         let Speed {
             prefill_ms_per_token,
             step_ms,
+            ..
         } = self.speed;
         let sample =
             f64::from(offer.prompt) * prefill_ms_per_token + f64::from(offer.output) * step_ms;
@@ -413,24 +471,47 @@
         *mean += SLOT_TIME_ALPHA * (sample - *mean);
     }
 
-    fn priority(&self, rank: Rank, cfg: &PlacementSettings) -> Priority {
+    fn priority(&self, rank: Rank, mark: u8, cfg: &PlacementSettings) -> Priority {
         let slot_ms = self.slot_ms.get(&rank.route).copied().unwrap_or(1.0);
         Priority {
             workspace: rank.workspace,
+            mark,
             smith_ratio: slot_ms * cfg.priority_factor.powi(i32::from(rank.route)),
         }
     }
 
-    fn sort(&mut self, cfg: &PlacementSettings, now: Timestamp) {
+    fn sort(&mut self, cfg: &PlacementSettings, weights: &Weights, now: Timestamp) {
         let usable = || self.targets.values().filter(|t| t.is_usable(now));
         self.speed = Speed {
             prefill_ms_per_token: median(usable().map(Target::prefill_ms_per_token).collect()),
             step_ms: median(usable().map(Target::step_ms).collect()),
+            call_ms: median(usable().map(Target::call_ms).collect()),
         };
+        if cfg.workspace_shares {
+            self.count_new();
+            self.waiting.iter_mut().for_each(|w| w.mark = 0);
+        }
+        self.sort_by_order(cfg, now);
+        if cfg.workspace_shares && self.shares.mark(&mut self.waiting, weights, now) {
+            self.sort_by_order(cfg, now);
+        }
+    }
+
+    // An offer is counted once a speed is known.
+    fn count_new(&mut self) {
+        for w in self.waiting.iter_mut().filter(|w| w.slot_ms == 0.0) {
+            w.slot_ms = self.speed.slot_ms(&w.offer);
+            if w.slot_ms > 0.0 {
+                self.shares.ask(w, w.queued_at);
+            }
+        }
+    }
+
+    fn sort_by_order(&mut self, cfg: &PlacementSettings, now: Timestamp) {
         let per_token = self.speed.prefill_ms_per_token;
         let mut waiting = std::mem::take(&mut self.waiting);
         for w in &mut waiting {
-            let priority = self.priority(w.offer.rank, cfg);
+            let priority = self.priority(w.offer.rank, w.mark, cfg);
             w.order = w.order(now, f64::from(w.offer.prompt) * per_token, priority);
         }
         self.waiting = waiting;
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -307,6 +307,11 @@
         self.prefill_ms_per_token
     }
 
+    /// Duration of a service call, in milliseconds.
+    pub fn call_ms(&self) -> f64 {
+        self.call_ms
+    }
+
     fn uncached(&self, offer: &Offer) -> u32 {
         offer
             .prompt
