Pace the returns of refused callers, and refuse in time what cannot be served

Cause: return times were 12 ms apart whatever the room, callers that repeated at once had more tries than those that waited, and requests without a chance were held until they turned late. Return times now follow the rate at which the pool takes a workspace's callers, early repeats wait behind the others and keep their time, and a request that would wait in vain is refused at once, never while a target takes it.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! The crate does no I/O and reads no clock: callers pass the time and carry out
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
-//! schedules. `queue` has the service order, `shares` the shares of workspaces, `returns` says when
-//! refused callers retry, `target` has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
+//! schedules. `queue` has the service order, `shares` the shares of workspaces, `forecast`
+//! which requests are refused early, `returns` when refused callers retry, `target` has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
 //! that crash targets, and `request_limit` keeps to the limits that targets name.
 
 mod cache;
 mod crash_ledger;
+mod decayed;
+mod forecast;
 mod offer;
 mod queue;
 mod registry;
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -17,10 +17,15 @@
     pub order: Order,
     /// Expected time for which it holds a slot, in milliseconds; 0 if no speed is known yet.
     pub slot_ms: f64,
-    /// How far it is beyond its workspace's share; 0 within it.
+    /// How far it is beyond its workspace's share, 0 within it; `REPEAT_MARK` if its caller repeats
+    /// it before it was asked to come back.
     pub mark: u8,
+    pub repeats_early: bool,
 }
 
+/// Mark of requests that wait behind all others of their workspace priority and class.
+pub(crate) const REPEAT_MARK: u8 = u8::MAX;
+
 /// Sort key of the queue; derived `PartialOrd` makes the variants strict classes.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(crate) enum Order {
@@ -41,7 +46,8 @@
 /// (W. E. Smith, "Various optimizers for single-stage production", 1956): a route priority whose
 /// requests take a tenth of the slot time is not starved by one with twice its weight. The slot
 /// time is the mean of the route priority, so that its long requests wait no longer than its short
-/// ones. Requests beyond their workspace's share go behind the others of its priority.
+/// ones. Requests beyond their workspace's share, and those that are repeated too early, go
+/// behind the others of the workspace priority.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(crate) struct Priority {
     pub workspace: u8,
@@ -56,13 +62,22 @@
         match () {
             _ if self.offer.resumes => Order::Resumed(aim_left),
             _ if self.offer.beyond_quota => Order::OverQuota(priority, aim_left),
-            _ if aim_left > first_ms * ESTIMATE_MARGIN + self.slack_ms() => {
-                Order::OnTime(priority, aim_left)
-            }
+            _ if self.until_late_ms(now, first_ms) > 0.0 => Order::OnTime(priority, aim_left),
             _ => Order::Late(!self.offer.returned || self.mark > 0, priority, aim_left),
         }
     }
 
+    /// Milliseconds until it can no longer meet its latency objective.
+    pub fn until_late_ms(&self, now: Timestamp, first_ms: f64) -> f64 {
+        let aim_left = self.offer.aim_left_ms - (now - self.queued_at);
+        aim_left - first_ms * ESTIMATE_MARGIN - self.slack_ms()
+    }
+
+    /// Whether it will miss its latency objective.
+    pub fn is_late(&self) -> bool {
+        matches!(self.order, Order::Late(..))
+    }
+
     // Without slack, half of the responses served just in time would be late.
     fn slack_ms(&self) -> f64 {
         self.offer.aim_left_ms.max(0.0) * SLACK_FRACTION
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -5,9 +5,10 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use crate::queue::{Order, Priority, Waiting};
+use crate::forecast::Forecast;
+use crate::queue::{Order, Priority, REPEAT_MARK, Waiting};
 use crate::request_limit::RequestLimit;
-use crate::returns::Returns;
+use crate::returns::{Returns, Room};
 use crate::shares::{ShareUse, Shares, Weights};
 use crate::target::Target;
 use crate::{LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
@@ -69,6 +70,13 @@
     }
 }
 
+impl PlacementSettings {
+    // Whether the slot time of workspaces is counted.
+    fn counts_use(&self) -> bool {
+        self.workspace_shares || self.paced_returns
+    }
+}
+
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
@@ -111,6 +119,8 @@
     waiting: Vec<Waiting>,
     returns: Returns,
     shares: Shares,
+    // When requests began to wait, if any do.
+    short_since: Timestamp,
     // Grants to late requests within the last `LATE_WINDOW_MS`.
     late_grants: VecDeque<Timestamp>,
     speed: Speed,
@@ -250,6 +260,10 @@
             pool.taken_over = now;
         }
         pool.last_offer = Some(now);
+        let repeats_early = self.cfg.paced_returns && pool.returns.is_early(&offer, now);
+        if pool.waiting.is_empty() {
+            pool.short_since = now;
+        }
         pool.waiting.push(Waiting {
             id,
             offer,
@@ -257,6 +271,7 @@
             order: Order::Resumed(0.0),
             slot_ms: 0.0,
             mark: 0,
+            repeats_early,
         });
         id
     }
@@ -268,7 +283,11 @@
                 let Some(pool) = self.pools.get_mut(&pool) else {
                     return;
                 };
-                pool.shares.finish(id, now);
+                if let Some((expected_ms, held_ms)) = pool.shares.finish(id, now)
+                    && matches!(outcome, SlotOutcome::Complete { .. })
+                {
+                    pool.returns.record_end(expected_ms, held_ms);
+                }
                 if let Some(t) = pool.targets.get_mut(&target) {
                     t.finish(id, outcome, now);
                 }
@@ -367,8 +386,9 @@
             pool.set_limit_share(self.visible_share.unwrap_or(1.0), now);
             let granted = pool.grant_free_slots(self.slot_fraction, now);
             for (w, target, address, first_ms, proven) in granted {
-                if self.cfg.workspace_shares {
+                if self.cfg.counts_use() {
                     pool.shares.give(&w, now);
+                    pool.returns.record_grant(w.slot_ms, now);
                 }
                 self.granted.insert(w.id, (name.clone(), target.clone()));
                 let waited_ms = now - w.queued_at;
@@ -487,12 +507,18 @@
             step_ms: median(usable().map(Target::step_ms).collect()),
             call_ms: median(usable().map(Target::call_ms).collect()),
         };
-        if cfg.workspace_shares {
+        let slots = usable().map(|t| f64::from(t.info.capacity.slots)).sum();
+        if cfg.counts_use() {
             self.count_new();
-            self.waiting.iter_mut().for_each(|w| w.mark = 0);
+        }
+        for w in &mut self.waiting {
+            w.mark = match w.repeats_early {
+                true => REPEAT_MARK,
+                false => 0,
+            };
         }
         self.sort_by_order(cfg, now);
-        if cfg.workspace_shares && self.shares.mark(&mut self.waiting, weights, now) {
+        if cfg.workspace_shares && self.shares.mark(&mut self.waiting, weights, slots, now) {
             self.sort_by_order(cfg, now);
         }
     }
@@ -541,7 +567,7 @@
                     let (name, address) = (t.info.name.clone(), t.info.address);
                     t.grant(self.waiting[index].id, offer, now);
                     let w = self.waiting.remove(index);
-                    if matches!(w.order, Order::Late(..)) {
+                    if w.is_late() {
                         self.late_grants.push_back(now);
                     }
                     out.push((w, name, address, first_ms, proven));
@@ -573,19 +599,28 @@
             self.late_grants.pop_front();
         }
         let late_per_ms = (self.late_grants.len() + 1) as f64 / LATE_WINDOW_MS;
+        let in_flight = self.targets.values().map(|t| t.in_flight.len()).sum();
+        let pool_rate = self.returns.rate(in_flight, now);
+        let late = self.waiting.iter().filter(|w| w.is_late()).count();
+        let wait_per_ms = self.returns.ratio() / pool_rate;
+        let mut forecast = Forecast::new(wait_per_ms, late_per_ms, late);
         let mut out = Vec::new();
         let mut index = 0;
-        let mut late_ahead = 0;
         while index < self.waiting.len() {
             let w = &self.waiting[index];
             let waited_ms = now - w.queued_at;
             let left_ms = w.max_wait_ms(cfg) - waited_ms;
-            let is_late = matches!(w.order, Order::Late(..));
-            // Late requests are served only when no request on time is queued, so their recent
-            // service rate predicts the wait.
-            let unservable = is_late && f64::from(late_ahead) / late_per_ms > left_ms;
-            if left_ms > 0.0 && !unservable {
-                late_ahead += i32::from(is_late);
+            let first_ms = f64::from(w.offer.prompt) * self.speed.prefill_ms_per_token;
+            let until_late_ms = w.until_late_ms(now, first_ms);
+            let in_vain = match cfg.paced_returns && in_flight > 0 {
+                true => {
+                    forecast.is_in_vain(w, until_late_ms, left_ms)
+                        && !self.targets.values().any(|t| t.accepts(&w.offer, now))
+                }
+                false => forecast.is_late_in_vain(w, left_ms),
+            };
+            if left_ms > 0.0 && !in_vain {
+                forecast.keep(w, until_late_ms);
                 index += 1;
                 continue;
             }
@@ -594,7 +629,18 @@
                 _ => Refusal::Overload,
             };
             let w = self.waiting.remove(index);
-            let retry_after_ms = self.returns.schedule(&w.offer, waited_ms, now);
+            let retry_after_ms = match cfg.paced_returns {
+                true => {
+                    let room = Room {
+                        pool_rate,
+                        short_ms: now - self.short_since,
+                        workspace_rate: self.shares.rate(&w.offer.workspace, now),
+                        drain_ms: forecast.drain_ms(),
+                    };
+                    self.returns.pace(&w, room, now)
+                }
+                false => self.returns.schedule(&w.offer, waited_ms, now),
+            };
             let decision = Decision::Refuse {
                 reason,
                 retry_after_ms,
--- a/crates/placement/src/shares.rs
+++ b/crates/placement/src/shares.rs
@@ -9,11 +9,10 @@
 use rwd_types::{PoolName, WorkspaceName};
 use serde::{Deserialize, Serialize};
 
+use crate::decayed::{DECAY_MS, Decayed, decay};
 use crate::queue::Waiting;
 use crate::{OfferId, Rank, Timestamp};
 
-/// Time constant of the decay of use and demand, in milliseconds.
-const DECAY_MS: f64 = 1500.0;
 /// Workspaces that are remembered; those that use the least are forgotten first.
 const MAX_WORKSPACES: usize = 512;
 /// Rows of a report besides the one that sums up the rest.
@@ -24,8 +23,8 @@
 const MAX_REPORT_AGE_MS: f64 = 1000.0;
 /// Ratio between two marks beyond the share: small enough to tell hot workspaces apart, large enough
 /// for value and urgency to decide among requests that are about even.
-const MARK_RATIO: f64 = 1.25;
-const MAX_MARK: f64 = 32.0;
+const MARK_RATIO: f64 = 1.1;
+const MAX_MARK: f64 = 64.0;
 /// Bound of a correction of slot time, as a multiple of its estimate.
 const MAX_CORRECTION: f64 = 3.0;
 /// Slot time that stands for one that is not known yet, in milliseconds.
@@ -65,28 +64,6 @@
     }
 }
 
-/// A sum that decays exponentially; a constant rate tends to rate times `DECAY_MS`.
-#[derive(Clone, Copy, Debug, Default)]
-struct Decayed {
-    sum: f64,
-    at: Timestamp,
-}
-
-impl Decayed {
-    fn get(self, now: Timestamp) -> f64 {
-        self.sum * decay(now - self.at)
-    }
-
-    fn add(&mut self, ms: f64, now: Timestamp) {
-        self.sum = (self.get(now) + ms).max(0.0);
-        self.at = now;
-    }
-}
-
-fn decay(ms: f64) -> f64 {
-    (-ms.max(0.0) / DECAY_MS).exp()
-}
-
 #[derive(Clone, Copy, Debug, Default)]
 struct Use {
     priority: u8,
@@ -113,6 +90,8 @@
     priority: u8,
     weight: f64,
     given: f64,
+    // The part of `given` that the present slots could give.
+    supply: f64,
     // Own queue, in milliseconds of slot time.
     queued: f64,
     asked: f64,
@@ -164,17 +143,23 @@
         self.open.insert(w.id, open);
     }
 
-    /// Corrects the slot time of a request that has ended.
-    pub fn finish(&mut self, id: OfferId, now: Timestamp) {
-        let Some(open) = self.open.swap_remove(&id) else {
-            return;
-        };
+    /// Corrects the slot time of a request that has ended. Returns its expected and its measured
+    /// slot time, in milliseconds.
+    pub fn finish(&mut self, id: OfferId, now: Timestamp) -> Option<(f64, f64)> {
+        let open = self.open.swap_remove(&id)?;
         let held_ms = (now - open.since).clamp(0.0, open.slot_ms * MAX_CORRECTION);
         let correction = (held_ms - open.slot_ms) * decay(now - open.since);
         if let Some(u) = self.uses.get_mut(&open.workspace) {
             u.given.add(correction, now);
             u.asked.add(correction, now);
         }
+        Some((open.slot_ms, now - open.since))
+    }
+
+    /// Slot time that a workspace is given, in milliseconds per millisecond.
+    pub fn rate(&self, workspace: &Option<WorkspaceName>, now: Timestamp) -> f64 {
+        let given = self.uses.get(workspace).map_or(0.0, |u| u.given.get(now));
+        given / DECAY_MS
     }
 
     fn use_of(&mut self, workspace: &Option<WorkspaceName>, rank: Rank) -> &mut Use {
@@ -191,7 +176,10 @@
         if self.uses.len() < MAX_WORKSPACES {
             return;
         }
-        let newest = self.uses.values().map(|u| u.asked.at.0.max(u.given.at.0));
+        let newest = self
+            .uses
+            .values()
+            .map(|u| u.asked.changed_at().0.max(u.given.changed_at().0));
         let now = Timestamp(newest.fold(0.0, f64::max));
         let size = |u: &Use| u.asked.get(now).max(u.given.get(now));
         self.uses.retain(|_, u| size(u) > FORGET_MS);
@@ -259,13 +247,19 @@
     }
 
     /// Marks the waiting requests, which are in service order, by how far they are beyond the share
-    /// of their workspace. Returns whether any is.
-    pub fn mark(&self, waiting: &mut [Waiting], weights: &Weights, now: Timestamp) -> bool {
+    /// of their workspace, in a pool with `slots` usable slots. Returns whether any is.
+    pub fn mark(
+        &self,
+        waiting: &mut [Waiting],
+        weights: &Weights,
+        slots: f64,
+        now: Timestamp,
+    ) -> bool {
         let one = waiting.first().map(|w| &w.offer.workspace);
         if waiting.iter().all(|w| Some(&w.offer.workspace) == one) {
             return false;
         }
-        let flows = self.flows(waiting, weights, now);
+        let flows = self.flows(waiting, weights, slots, now);
         let mut levels: IndexMap<u8, f64> = IndexMap::new();
         for f in flows.values() {
             let same = flows.values().filter(|g| g.priority == f.priority);
@@ -284,7 +278,7 @@
             };
             let start = (f.given + *ahead) / f.weight;
             *ahead += w.slot_ms.max(UNKNOWN_SLOT_MS);
-            w.mark = mark(start, levels[&f.priority]);
+            w.mark = w.mark.max(mark(start, levels[&f.priority]));
             any |= w.mark > 0;
         }
         any
@@ -295,18 +289,22 @@
         &self,
         waiting: &[Waiting],
         weights: &Weights,
+        slots: f64,
         now: Timestamp,
     ) -> IndexMap<Option<WorkspaceName>, Flow> {
         let weight = |workspace: &Option<WorkspaceName>| {
             let weight = workspace.as_ref().and_then(|w| weights.get(w));
             weight.copied().unwrap_or(1.0)
         };
+        let given: f64 = self.uses.values().map(|u| u.given.get(now)).sum();
+        let supplied = (slots * DECAY_MS / given.max(FORGET_MS)).min(1.0);
         let mut flows: IndexMap<_, Flow> = IndexMap::new();
         for (workspace, u) in &self.uses {
             let flow = Flow {
                 priority: u.priority,
                 weight: weight(workspace),
                 given: u.given.get(now),
+                supply: u.given.get(now) * supplied,
                 asked: u.asked.get(now),
                 queued: 0.0,
             };
@@ -327,6 +325,7 @@
                 ..Flow::default()
             });
             f.given += row.given_ms_per_s * DECAY_MS / 1000.0;
+            f.supply += row.given_ms_per_s * DECAY_MS / 1000.0;
             f.asked += row.asked_ms_per_s * DECAY_MS / 1000.0;
         }
         for w in waiting {
@@ -339,11 +338,11 @@
 }
 
 /// The slot time per weight up to which each flow gets what it demands, if all together get what
-/// they were given lately.
+/// they were given lately, less what was given by slots that are gone.
 fn water_level(mut flows: Vec<Flow>) -> f64 {
     let per_weight = |f: &Flow| f.demand() / f.weight;
     flows.sort_by(|a, b| per_weight(a).total_cmp(&per_weight(b)));
-    let mut left: f64 = flows.iter().map(|f| f.given).sum();
+    let mut left: f64 = flows.iter().map(|f| f.supply).sum();
     let mut weight: f64 = flows.iter().map(|f| f.weight).sum();
     for f in &flows {
         let level = left / weight;
--- a/crates/placement/tests/placement/properties.rs
+++ b/crates/placement/tests/placement/properties.rs
@@ -1,9 +1,9 @@
 //! Invariants under random sequences of offers, completions and target list updates.
 
-use crate::helper::{at, complete, offer, pool, scheduler, target};
+use crate::helper::{at, complete, offer, pool, target};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use rwd_placement::{Decision, Offer, OfferId, SlotOutcome};
+use rwd_placement::{Decision, Offer, OfferId, PlacementSettings, Scheduler, SlotOutcome};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Debug)]
@@ -42,7 +42,7 @@
 const SLOTS: u32 = 3;
 
 // Each offer is decided at most once, no target exceeds its slots, and no draining target gets one.
-fn check(steps: Vec<Step>) -> Result<(), TestCaseError> {
+fn check(steps: Vec<Step>, settings: &PlacementSettings) -> Result<(), TestCaseError> {
     let names = ["a", "b", "c", "d"];
     let list = |leaving: usize| {
         let infos = names.iter().enumerate().map(|(n, name)| {
@@ -52,7 +52,8 @@
         });
         infos.collect::<Vec<_>>()
     };
-    let mut s = scheduler(list(0));
+    let mut s = Scheduler::new(settings.clone());
+    s.set_targets(&pool(), list(0));
     let mut leaving = 0;
     let mut now = 0.0;
     let mut running: Vec<(OfferId, String)> = Vec::new();
@@ -66,6 +67,7 @@
                 beyond,
             } => {
                 let offer = Offer {
+                    workspace: Some(format!("w{route}").parse().unwrap()),
                     prompt,
                     beyond_quota: beyond,
                     ..offer(route)
@@ -117,8 +119,7 @@
     Ok(())
 }
 
-#[test]
-fn every_offer_is_decided_once_and_slots_are_not_exceeded() {
+fn check_all(settings: PlacementSettings) {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
     let cfg = Config {
         cases: 300,
@@ -127,5 +128,19 @@
     };
     let mut runner = TestRunner::new_with_rng(cfg, rng);
     let steps = proptest::collection::vec(step(), 1..120);
-    runner.run(&steps, check).unwrap();
+    runner.run(&steps, |steps| check(steps, &settings)).unwrap();
+}
+
+#[test]
+fn every_offer_is_decided_once_and_slots_are_not_exceeded() {
+    check_all(PlacementSettings::default());
+}
+
+#[test]
+fn every_offer_is_decided_once_with_shares_and_paced_returns() {
+    check_all(PlacementSettings {
+        workspace_shares: true,
+        paced_returns: true,
+        ..Default::default()
+    });
 }
--- a/crates/placement/tests/shares/load.rs
+++ b/crates/placement/tests/shares/load.rs
@@ -107,13 +107,16 @@
     pub shards: Vec<Option<Scheduler>>,
     pub now: f64,
     pub tallies: Vec<Tally>,
+    /// Time for which requests waited that were refused, in milliseconds.
+    pub held_in_vain_ms: f64,
     /// By whether the caller is one of those that repeat at once.
     pub manners: [Tally; 2],
     pub connected: Vec<bool>,
     pub manner: fn(key: u64) -> Manner,
     cfg: PlacementSettings,
     counting: bool,
-    rng: StdRng,
+    arrivals: StdRng,
+    routing: StdRng,
     callers: Vec<Caller>,
     returning: Vec<(f64, Caller)>,
     next_key: u64,
@@ -126,12 +129,14 @@
             shards: Vec::new(),
             now: 0.0,
             tallies: vec![Tally::default(); WORKSPACES],
+            held_in_vain_ms: 0.0,
             manners: [Tally::default(); 2],
             connected: vec![true; shards],
             manner: |_| Manner::Leaves,
             cfg,
             counting: false,
-            rng: StdRng::seed_from_u64(46),
+            arrivals: StdRng::seed_from_u64(46),
+            routing: StdRng::seed_from_u64(47),
             callers: Vec::new(),
             returning: Vec::new(),
             next_key: 0,
@@ -168,12 +173,30 @@
     pub fn measure(&mut self, ms: f64, rate: impl Fn(usize) -> f64) {
         self.tallies = vec![Tally::default(); WORKSPACES];
         self.manners = Default::default();
+        self.held_in_vain_ms = 0.0;
         self.counting = true;
         self.run(ms, &rate);
         self.counting = false;
         self.run(OBJECTIVE_MS, &rate);
     }
 
+    /// Like `measure`, for a burst and the usual load after it, until all callers have come back.
+    pub fn measure_burst(
+        &mut self,
+        burst_ms: f64,
+        burst: impl Fn(usize) -> f64,
+        after_ms: f64,
+        usual: impl Fn(usize) -> f64,
+    ) {
+        let end = self.now + burst_ms;
+        self.tallies = vec![Tally::default(); WORKSPACES];
+        self.counting = true;
+        self.run(end - self.now, burst);
+        self.run(after_ms, &usual);
+        self.counting = false;
+        self.run(TIMEOUT_MS, usual);
+    }
+
     pub fn goodput(&self) -> f64 {
         self.tallies.iter().map(|t| t.on_time).sum()
     }
@@ -190,7 +213,7 @@
                 // At most one in a tick from each fraction of a request, which keeps the mean.
                 let certain = expected.floor();
                 let count =
-                    certain as usize + usize::from(self.rng.random_bool(expected - certain));
+                    certain as usize + usize::from(self.arrivals.random_bool(expected - certain));
                 for _ in 0..count {
                     self.send_new(n);
                 }
@@ -264,7 +287,7 @@
     }
 
     fn send(&mut self, mut c: Caller) {
-        let first = self.rng.random_range(0..self.shards.len());
+        let first = self.routing.random_range(0..self.shards.len());
         let up = (0..self.shards.len()).map(|n| (first + n) % self.shards.len());
         let Some(n) = up.into_iter().find(|n| self.shards[*n].is_some()) else {
             return;
@@ -301,6 +324,9 @@
             let decisions = self.shards[n]
                 .as_mut()
                 .map_or_else(Vec::new, |s| s.poll(now));
+            if self.cfg.paced_returns {
+                self.check_refusals(n, &decisions);
+            }
             for (id, decision) in decisions {
                 let is = |c: &Caller| c.shard == n && c.id == id;
                 let index = self.callers.iter().position(is).unwrap();
@@ -309,6 +335,17 @@
         }
     }
 
+    // No request is refused while a slot is free.
+    fn check_refusals(&self, n: usize, decisions: &[(OfferId, Decision)]) {
+        let is_grant = |d: &Decision| matches!(d, Decision::Grant { .. });
+        let grants = decisions.iter().filter(|(_, d)| is_grant(d)).count();
+        let running = |c: &&Caller| c.shard == n && c.ends.is_some();
+        let used = self.callers.iter().filter(running).count() + grants;
+        let has_refusal = grants < decisions.len();
+        let free = SLOTS / self.shards.len() - used;
+        assert!(!has_refusal || free == 0, "{free} slots are free");
+    }
+
     fn apply(&mut self, index: usize, decision: Decision) {
         let mut c = self.callers.swap_remove(index);
         match decision {
@@ -325,6 +362,9 @@
                 waited_ms,
                 ..
             } => {
+                if c.counted {
+                    self.held_in_vain_ms += waited_ms;
+                }
                 let in_ms = match (self.manner)(c.key) {
                     Manner::Returns if c.tries == 1 => retry_after_ms,
                     Manner::Repeats(times) if c.tries <= times => TICK_MS,
--- a/crates/placement/tests/shares/main.rs
+++ b/crates/placement/tests/shares/main.rs
@@ -3,3 +3,4 @@
 mod fairness;
 mod load;
 mod order;
+mod returns;
