Tell operators of workspaces beyond their shares; document shares and returns

Cause: an operator could not see why a workspace's requests wait. Lines beyond_share and within_share say so, at most one each for a workspace and shard in three seconds.

--- a/crates/gateway/src/local_scheduler.rs
+++ b/crates/gateway/src/local_scheduler.rs
@@ -254,5 +254,21 @@
                 None => self.scheduler.finish(id, SlotOutcome::Unused, clock::now()),
             }
         }
+        self.log_shares();
+    }
+
+    fn log_shares(&mut self) {
+        for (pool, n) in self.scheduler.share_news(clock::now()) {
+            let workspace = n.workspace.as_ref().map_or("", |w| w.as_str());
+            let (asked, given) = (n.asked_ms_per_s as u64, n.given_ms_per_s as u64);
+            match n.is_beyond {
+                true => {
+                    info!(event = "beyond_share", pool:% = pool, workspace, asked_ms_per_s = asked, given_ms_per_s = given; "workspace asks for more than its share; the others go first")
+                }
+                false => {
+                    info!(event = "within_share", pool:% = pool, workspace, asked_ms_per_s = asked, given_ms_per_s = given; "workspace is within its share again")
+                }
+            }
+        }
     }
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -25,5 +25,5 @@
 pub use crate::registry::TargetEntry;
 pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
-pub use crate::shares::{ShareOwner, ShareUse};
+pub use crate::shares::{ShareNews, ShareOwner, ShareUse};
 pub use crate::target::{Capacity, TargetInfo};
--- a/crates/placement/src/returns.rs
+++ b/crates/placement/src/returns.rs
@@ -18,7 +18,7 @@
 const MAX_RETRY_FRACTION: f64 = 0.3;
 /// Earliest retry as a fraction of the latest one when more callers are refused than the pool will
 /// take: the later they come back, the more likely the shortage is over.
-const SPREAD_FRACTION: f64 = 0.7;
+const SPREAD_FRACTION: f64 = 0.8;
 /// Refusals that are remembered; the oldest are forgotten first.
 const MAX_REFUSALS: usize = 1024;
 /// Workspaces whose next return time is remembered.
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -9,7 +9,7 @@
 use crate::queue::{Order, Priority, REPEAT_MARK, Waiting};
 use crate::request_limit::RequestLimit;
 use crate::returns::{Returns, Room};
-use crate::shares::{ShareUse, Shares, Weights};
+use crate::shares::{ShareNews, ShareUse, Shares, Weights};
 use crate::target::Target;
 use crate::{LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
 
@@ -436,6 +436,17 @@
         }
     }
 
+    /// Which workspaces have come to be beyond their shares of a pool, or are within them again, since
+    /// the last call.
+    pub fn share_news(&mut self, now: Timestamp) -> Vec<(PoolName, ShareNews)> {
+        let pools = self.pools.iter_mut();
+        let news = pools.flat_map(|(name, p)| {
+            let news = p.shares.news(now).into_iter();
+            news.map(|n| (name.clone(), n))
+        });
+        news.collect()
+    }
+
     /// Whether any offer is queued, so that the passage of time alone can cause a decision.
     pub fn has_waiting(&self) -> bool {
         self.pools.values().any(|p| !p.waiting.is_empty())
--- a/crates/placement/src/shares.rs
+++ b/crates/placement/src/shares.rs
@@ -29,6 +29,9 @@
 const MAX_CORRECTION: f64 = 3.0;
 /// Slot time that stands for one that is not known yet, in milliseconds.
 const UNKNOWN_SLOT_MS: f64 = 1.0;
+/// How long a workspace is beyond its share before that is news, and how long it is within it before
+/// that is news again, in milliseconds.
+const NEWS_MS: (f64, f64) = (1000.0, 2000.0);
 /// Use below which a workspace is forgotten, in milliseconds of slot time.
 const FORGET_MS: f64 = 0.01;
 
@@ -71,6 +74,27 @@
     given: Decayed,
 }
 
+/// A workspace has been beyond its share for a while, or no longer is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShareNews {
+    /// The workspace, if the requests belong to one.
+    pub workspace: Option<WorkspaceName>,
+    /// Whether it is beyond its share now.
+    pub is_beyond: bool,
+    /// Slot time that it asks for at this shard, in milliseconds per second.
+    pub asked_ms_per_s: f64,
+    /// Slot time that it is given at this shard, in milliseconds per second.
+    pub given_ms_per_s: f64,
+}
+
+/// The time in which requests of a workspace have been marked.
+#[derive(Clone, Copy, Debug)]
+struct Beyond {
+    since: Timestamp,
+    last: Timestamp,
+    is_told: bool,
+}
+
 /// A granted request whose slot time is an estimate until it ends.
 #[derive(Clone, Debug)]
 struct Open {
@@ -109,6 +133,8 @@
     uses: IndexMap<Option<WorkspaceName>, Use>,
     open: IndexMap<OfferId, Open>,
     reports: IndexMap<PoolName, Report>,
+    // Workspaces with marked requests lately; at most `MAX_WORKSPACES`.
+    beyond: IndexMap<Option<WorkspaceName>, Beyond>,
 }
 
 /// Weights of workspaces; the weight of those that are not named is 1.
@@ -249,7 +275,7 @@
     /// Marks the waiting requests, which are in service order, by how far they are beyond the share
     /// of their workspace, in a pool with `slots` usable slots. Returns whether any is.
     pub fn mark(
-        &self,
+        &mut self,
         waiting: &mut [Waiting],
         weights: &Weights,
         slots: f64,
@@ -268,7 +294,7 @@
         }
         let mut ahead: IndexMap<Option<WorkspaceName>, f64> = IndexMap::new();
         let mut any = false;
-        for w in waiting {
+        for w in waiting.iter_mut() {
             let ahead = match ahead.get_mut(&w.offer.workspace) {
                 Some(ms) => ms,
                 None => ahead.entry(w.offer.workspace.clone()).or_insert(0.0),
@@ -281,9 +307,54 @@
             w.mark = w.mark.max(mark(start, levels[&f.priority]));
             any |= w.mark > 0;
         }
+        for w in waiting.iter().filter(|w| w.mark > 0 && !w.repeats_early) {
+            self.record_beyond(&w.offer.workspace, now);
+        }
         any
     }
 
+    fn record_beyond(&mut self, workspace: &Option<WorkspaceName>, now: Timestamp) {
+        let has_room = self.beyond.len() < MAX_WORKSPACES;
+        match self.beyond.get_mut(workspace) {
+            Some(b) => b.last = now,
+            None if has_room => {
+                let beyond = Beyond {
+                    since: now,
+                    last: now,
+                    is_told: false,
+                };
+                self.beyond.insert(workspace.clone(), beyond);
+            }
+            None => (),
+        }
+    }
+
+    /// Which workspaces have come to be beyond their shares, or are within them again, since the
+    /// last call.
+    pub fn news(&mut self, now: Timestamp) -> Vec<ShareNews> {
+        let (beyond_ms, within_ms) = NEWS_MS;
+        let mut changed = Vec::new();
+        for (workspace, b) in &mut self.beyond {
+            let is_over = now - b.last > within_ms;
+            if is_over && b.is_told || !is_over && !b.is_told && b.last - b.since > beyond_ms {
+                b.is_told = !is_over;
+                changed.push((workspace.clone(), !is_over));
+            }
+        }
+        self.beyond.retain(|_, b| now - b.last <= within_ms);
+        let per_s = 1000.0 / DECAY_MS;
+        let news = changed.into_iter().map(|(workspace, is_beyond)| {
+            let u = self.uses.get(&workspace).copied().unwrap_or_default();
+            ShareNews {
+                workspace,
+                is_beyond,
+                asked_ms_per_s: u.asked.get(now) * per_s,
+                given_ms_per_s: u.given.get(now) * per_s,
+            }
+        });
+        news.collect()
+    }
+
     // All workspaces with recent use at any shard, and those that wait here.
     fn flows(
         &self,
--- a/crates/placement/tests/shares/order.rs
+++ b/crates/placement/tests/shares/order.rs
@@ -160,3 +160,28 @@
     let own = s.learn_shares(&shard(0), &shard(0), 0.0, many, at(2.0));
     assert_eq!(own, 1000);
 }
+
+/// Operators are told once that a workspace is beyond its share, and once that it no longer is.
+#[test]
+fn a_hot_workspace_is_news_once_and_its_end_is() {
+    let (mut s, _) = busy();
+    let mut news = Vec::new();
+    for n in 0..80 {
+        let now = at(f64::from(n) * 100.0);
+        // It asks for 3.5 s and has been given much at another shard.
+        if n < 35 {
+            s.learn_shares(&shard(0), &shard(1), 0.0, vec![row(HOT, 9_000.0)], now);
+            s.offer(offer(HOT, shard(0)), now);
+            s.offer(offer(OTHER, shard(0)), now);
+        }
+        s.poll(now);
+        news.extend(s.share_news(now).into_iter().map(|(_, news)| news));
+    }
+    let of_hot = news.iter().map(|n| (n.workspace.clone(), n.is_beyond));
+    let hot = Some(workspace(HOT));
+    assert!(news.iter().all(|n| n.asked_ms_per_s >= n.given_ms_per_s));
+    assert_eq!(
+        of_hot.collect::<Vec<_>>(),
+        [(hot.clone(), true), (hot, false)]
+    );
+}
