Merge shares of workspaces and paced returns

Weights are the quotas of the workspaces where all have one in the same unit: with equal weights a large workspace's usual load would be cut to the level of a hot one.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -176,6 +176,22 @@
         self.workspaces.values()
     }
 
+    /// Weights of workspaces in the slot time of a pool that is short of it: their quotas, if all
+    /// have one in the same unit, so that a workspace that is large as agreed keeps its usual part.
+    /// Empty for equal weights.
+    pub fn share_weights(&self) -> IndexMap<WorkspaceName, f64> {
+        let mut quotas = self.workspaces.values().map(|w| w.quota);
+        let first = quotas.next();
+        let is_alike = |q: &Quota| q.per_s > 0.0 && Some(q.in_tokens) == first.map(|f| f.in_tokens);
+        match first.as_ref().is_some_and(is_alike) && quotas.all(|q| is_alike(&q)) {
+            true => {
+                let weights = self.workspaces.iter();
+                weights.map(|(n, w)| (n.clone(), w.quota.per_s)).collect()
+            }
+            false => IndexMap::new(),
+        }
+    }
+
     /// Whether requests of a route need a key.
     pub fn needs_key(&self, route: &Route) -> bool {
         !self.workspaces.is_empty() && !route.public
--- a/crates/gateway/src/local_scheduler.rs
+++ b/crates/gateway/src/local_scheduler.rs
@@ -7,7 +7,7 @@
     Decision, HeldSlot, LimitNotice, LimitReport, MAX_REPORTS, Offer, OfferId, PlacementSettings,
     Refusal, Room, Scheduler, SlotOutcome, TargetInfo, TargetReport,
 };
-use rwd_types::{InstanceName, PoolName, RequestRate, TargetName};
+use rwd_types::{InstanceName, PoolName, RequestRate, TargetName, WorkspaceName};
 use rwd_wire::{Message, Placed, ShardReport, ShardRoom};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -182,9 +182,18 @@
         reports.collect()
     }
 
-    /// Applies the report of another shard of a pool.
-    pub fn learn_report(&self, report: &ShardReport) {
-        learn_share_rows(&mut self.lock().scheduler, report, clock::now());
+    /// Applies the report of another shard to the other shards of its pool.
+    pub fn learn_report(&self, others: &[PoolName], report: &ShardReport) {
+        let scheduler = &mut self.lock().scheduler;
+        let ignored = learn_share_rows(scheduler, others, report, clock::now());
+        if ignored > 0 {
+            warn!(event = "bad_shares", shard:% = report.shard, ignored; "a peer reports shares that cannot be; ignoring the rows");
+        }
+    }
+
+    /// Sets the weights of workspaces in shares of slot time.
+    pub fn set_weights(&self, weights: IndexMap<WorkspaceName, f64>) {
+        self.lock().scheduler.set_weights(weights);
     }
 
     /// Makes an offer.
@@ -374,5 +383,21 @@
                 None => self.scheduler.finish(id, SlotOutcome::Unused, clock::now()),
             }
         }
+        self.log_shares();
+    }
+
+    fn log_shares(&mut self) {
+        for (pool, n) in self.scheduler.share_news(clock::now()) {
+            let workspace = n.workspace.as_ref().map_or("", |w| w.as_str());
+            let (asked, given) = (n.asked_ms_per_s as u64, n.given_ms_per_s as u64);
+            match n.is_beyond {
+                true => {
+                    info!(event = "beyond_share", pool:% = pool, workspace, asked_ms_per_s = asked, given_ms_per_s = given; "workspace asks for more than its share; the others go first")
+                }
+                false => {
+                    info!(event = "within_share", pool:% = pool, workspace, asked_ms_per_s = asked, given_ms_per_s = given; "workspace is within its share again")
+                }
+            }
+        }
     }
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -572,6 +572,7 @@
     let mut changes = replica.watch();
     loop {
         if let Some(catalog) = replica.catalog() {
+            scheduler.set_weights(catalog.share_weights());
             for (name, pool) in &catalog.pools {
                 let targets = replica.targets(name);
                 let by_shard = partition(name, &targets);
--- a/crates/gateway/src/room.rs
+++ b/crates/gateway/src/room.rs
@@ -14,7 +14,7 @@
 use rand::{Rng, RngExt};
 use rwd_placement::{Offer, Room, Scheduler, ShareUse, Timestamp};
 use rwd_types::{PoolName, ZoneName};
-use rwd_wire::ShardReport;
+use rwd_wire::{MAX_SHARE_ROWS, ShardReport};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::shards::Shard;
@@ -244,12 +244,27 @@
 }
 
 /// Use of a shard's slots by workspace, for its report.
-pub fn share_rows(_scheduler: &Scheduler, _shard: &PoolName, _now: Timestamp) -> Vec<ShareUse> {
-    Vec::new()
+pub fn share_rows(scheduler: &Scheduler, shard: &PoolName, now: Timestamp) -> Vec<ShareUse> {
+    let mut rows = scheduler.share_report(shard, now);
+    rows.truncate(MAX_SHARE_ROWS);
+    rows
 }
 
 /// Passes on what another shard reports about the use of its slots.
-pub fn learn_share_rows(_scheduler: &mut Scheduler, _report: &ShardReport, _now: Timestamp) {}
+///
+/// Returns the number of rows that were ignored.
+pub fn learn_share_rows(
+    scheduler: &mut Scheduler,
+    own_shards: &[PoolName],
+    report: &ShardReport,
+    now: Timestamp,
+) -> usize {
+    let age_ms = f64::from(report.age_ms);
+    let learned = own_shards.iter().map(|shard| {
+        scheduler.learn_shares(shard, &report.shard, age_ms, report.shares.clone(), now)
+    });
+    learned.max().unwrap_or(0)
+}
 
 /// Whether a shard lies in another zone than the home node.
 pub fn is_further(shard: &Shard, zone: &ZoneName) -> bool {
--- a/crates/gateway/src/slots/spill.rs
+++ b/crates/gateway/src/slots/spill.rs
@@ -202,7 +202,12 @@
     /// Applies the report of another shard.
     pub fn learn_report(&self, report: &ShardReport) {
         match &self.rooms {
-            Some(sync) if sync.learn_report(report) => self.local_scheduler.learn_report(report),
+            Some(sync) if sync.learn_report(report) => {
+                let siblings = self.shards.siblings(&report.shard).into_iter();
+                let others = siblings.map(|s| s.name).filter(|n| *n != report.shard);
+                let others: Vec<_> = others.collect();
+                self.local_scheduler.learn_report(&others, report);
+            }
             _ => (),
         }
     }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! The crate does no I/O and reads no clock: callers pass the time and carry out
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
-//! schedules. `queue` has the service order, `precedence` corrects it for route priorities that
-//! fall behind lower ones, `returns` says when refused callers retry, and `room` how much room a
+//! schedules. `queue` has the service order, `shares` the shares of workspaces in it, `precedence` corrects it for route priorities that
+//! fall behind lower ones. `forecast` says which requests are refused early, `returns` when refused callers retry, and `room` how much room a
 //! pool has. `target` has the cost model, `connections` its part for connections, and `cache`
 //! estimates the content of prefix caches. `request_limit` keeps to the limits that targets name,
 //! `memory` to their memory, and `crash_ledger` finds prompts that crash them. `handover` has what
@@ -12,6 +12,8 @@
 mod cache;
 mod connections;
 mod crash_ledger;
+mod decayed;
+mod forecast;
 mod handover;
 mod memory;
 mod offer;
@@ -22,7 +24,7 @@
 mod returns;
 mod room;
 mod scheduler;
-mod share_use;
+mod shares;
 mod target;
 
 pub use crate::cache::PromptCache;
@@ -36,5 +38,5 @@
 pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
 pub use crate::room::{MAX_FREE_SLOTS, MAX_WAIT_MS, Room};
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
-pub use crate::share_use::ShareUse;
+pub use crate::shares::{ShareNews, ShareOwner, ShareUse};
 pub use crate::target::{Capacity, TargetInfo};
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -1,17 +1,19 @@
 //! The queue of waiting requests, its service order, and admission control.
 
 use indexmap::IndexMap;
-use rwd_types::{InstanceName, PoolName, RequestRate, TargetName};
+use rwd_types::{InstanceName, PoolName, RequestRate, TargetName, WorkspaceName};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use crate::forecast::Forecast;
 use crate::handover::{ACTIVE_REPORT_MS, MAX_REPORTS, Speeds, slot_share};
 use crate::memory::{MemoryBound, Role, exceeds, worst_case};
 use crate::precedence::Precedence;
-use crate::queue::{Order, Priority, Waiting};
+use crate::queue::{Order, Priority, REPEAT_MARK, Waiting};
 use crate::request_limit::RequestLimit;
-use crate::returns::Returns;
+use crate::returns::{Returns, ServiceRate};
 use crate::room::{GrantRate, Room};
+use crate::shares::{ShareNews, ShareUse, Shares, Weights};
 use crate::target::Target;
 use crate::{
     HeldSlot, LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo,
@@ -86,6 +88,13 @@
     }
 }
 
+impl PlacementSettings {
+    // Whether the slot time of workspaces is counted.
+    fn counts_use(&self) -> bool {
+        self.workspace_shares || self.paced_returns
+    }
+}
+
 /// Why a request was refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
@@ -129,6 +138,9 @@
     targets: IndexMap<TargetName, Target>,
     waiting: Vec<Waiting>,
     returns: Returns,
+    shares: Shares,
+    // When requests began to wait, if any do.
+    short_since: Timestamp,
     // Grants to late requests within the last `LATE_WINDOW_MS`.
     late_grants: VecDeque<Timestamp>,
     grant_rate: GrantRate,
@@ -156,6 +168,20 @@
 struct Speed {
     prefill_ms_per_token: f64,
     step_ms: f64,
+    call_ms: f64,
+}
+
+impl Speed {
+    // Expected slot time of a request, in milliseconds.
+    fn slot_ms(&self, offer: &Offer) -> f64 {
+        match offer.prompt {
+            0 => self.call_ms,
+            prompt => {
+                let prefill_ms = f64::from(prompt) * self.prefill_ms_per_token;
+                prefill_ms + f64::from(offer.output) * self.step_ms
+            }
+        }
+    }
 }
 
 /// State of one target, for status pages and tests.
@@ -182,6 +208,7 @@
     next_id: u64,
     slot_fraction: Option<f64>,
     visible_share: Option<f64>,
+    weights: Weights,
     // Limits of targets that are in no pool, with the start times of their processes if these are
     // known.
     unplaced_limits: IndexMap<TargetName, (Option<u64>, RequestLimit)>,
@@ -282,11 +309,18 @@
             }
             pool.last_offer = Some(now);
         }
+        let repeats_early = self.cfg.paced_returns && pool.returns.is_early(&offer, now);
+        if pool.waiting.is_empty() {
+            pool.short_since = now;
+        }
         pool.waiting.push(Waiting {
             id,
             offer,
             queued_at: now,
             order: Order::Resumed(0.0),
+            slot_ms: 0.0,
+            mark: 0,
+            repeats_early,
         });
         id
     }
@@ -295,14 +329,23 @@
     pub fn finish(&mut self, id: OfferId, outcome: SlotOutcome, now: Timestamp) {
         match self.granted.swap_remove(&id) {
             Some((pool, target)) => {
-                let pool = self.pools.get_mut(&pool);
-                if let Some(t) = pool.and_then(|p| p.targets.get_mut(&target)) {
+                let Some(pool) = self.pools.get_mut(&pool) else {
+                    return;
+                };
+                if let Some((expected_ms, held_ms)) = pool.shares.finish(id, now)
+                    && matches!(outcome, SlotOutcome::Complete { .. })
+                {
+                    pool.returns.record_end(expected_ms, held_ms);
+                }
+                if let Some(t) = pool.targets.get_mut(&target) {
                     t.finish(id, outcome, now);
                 }
             }
             None => {
                 for pool in self.pools.values_mut() {
-                    pool.waiting.retain(|w| w.id != id);
+                    for w in pool.waiting.extract_if(.., |w| w.id == id) {
+                        pool.shares.withdraw(&w, now);
+                    }
                 }
             }
         }
@@ -402,7 +445,7 @@
             if pool.waiting.is_empty() {
                 continue;
             }
-            pool.sort(&self.cfg, now);
+            pool.sort(&self.cfg, &self.weights, now);
             pool.set_limit_share(self.visible_share.unwrap_or(1.0), now);
             if self.cfg.bounded_memory {
                 let visible_share = self.visible_share.unwrap_or(1.0);
@@ -416,6 +459,10 @@
             let granted = pool.grant_free_slots(self.slot_fraction, now);
             pool.grant_rate.record(granted.len(), now);
             for (w, target, address, first_ms, proven) in granted {
+                if self.cfg.counts_use() {
+                    pool.shares.give(&w, now);
+                    pool.returns.record_grant(w.slot_ms, now);
+                }
                 self.granted.insert(w.id, (name.clone(), target.clone()));
                 let waited_ms = now - w.queued_at;
                 let decision = Decision::Grant {
@@ -489,6 +536,47 @@
         }
     }
 
+    /// Sets the weights of workspaces in shares of slot time; others weigh 1. Weights that are not
+    /// above zero are ignored.
+    pub fn set_weights(&mut self, mut weights: IndexMap<WorkspaceName, f64>) {
+        weights.retain(|_, weight| weight.is_finite() && *weight > 0.0);
+        self.weights = weights;
+    }
+
+    /// What the workspaces of a pool asked for and were given here lately, for the schedulers of the
+    /// pool's other shards.
+    pub fn share_report(&self, pool: &PoolName, now: Timestamp) -> Vec<ShareUse> {
+        let pool = self.pools.get(pool);
+        pool.map_or_else(Vec::new, |p| p.shares.report(now))
+    }
+
+    /// Takes the report of another shard of the pool, made `age_ms` ago. Returns the number of its
+    /// rows that were ignored because they are invalid or too many.
+    pub fn learn_shares(
+        &mut self,
+        pool: &PoolName,
+        from_shard: &PoolName,
+        age_ms: f64,
+        rows: Vec<ShareUse>,
+        now: Timestamp,
+    ) -> usize {
+        match self.pools.get_mut(pool) {
+            Some(p) if from_shard != pool => p.shares.learn(from_shard, age_ms, rows, now),
+            _ => rows.len(),
+        }
+    }
+
+    /// Which workspaces have come to be beyond their shares of a pool, or are within them again, since
+    /// the last call.
+    pub fn share_news(&mut self, now: Timestamp) -> Vec<(PoolName, ShareNews)> {
+        let pools = self.pools.iter_mut();
+        let news = pools.flat_map(|(name, p)| {
+            let news = p.shares.news(now).into_iter();
+            news.map(|n| (name.clone(), n))
+        });
+        news.collect()
+    }
+
     /// Whether any offer is queued, so that the passage of time alone can cause a decision.
     pub fn has_waiting(&self) -> bool {
         self.pools.values().any(|p| !p.waiting.is_empty())
@@ -589,6 +677,7 @@
         let Speed {
             prefill_ms_per_token,
             step_ms,
+            ..
         } = self.speed;
         let sample =
             f64::from(offer.prompt) * prefill_ms_per_token + f64::from(offer.output) * step_ms;
@@ -601,7 +690,7 @@
         *mean += SLOT_TIME_ALPHA * (sample - *mean);
     }
 
-    fn priority(&self, rank: Rank, cfg: &PlacementSettings) -> Priority {
+    fn priority(&self, rank: Rank, mark: u8, cfg: &PlacementSettings) -> Priority {
         let slot_ms = self.slot_ms.get(&rank.route).copied().unwrap_or(1.0);
         let factor = match cfg.keeps_precedence {
             true => self.precedence.factor(rank.route),
@@ -609,21 +698,50 @@
         };
         Priority {
             workspace: rank.workspace,
+            mark,
             smith_ratio: slot_ms * cfg.priority_factor.powi(i32::from(rank.route)) / factor,
         }
     }
 
-    fn sort(&mut self, cfg: &PlacementSettings, now: Timestamp) {
+    fn sort(&mut self, cfg: &PlacementSettings, weights: &Weights, now: Timestamp) {
         let usable = || self.targets.values().filter(|t| t.is_usable(now));
         self.speed = Speed {
             prefill_ms_per_token: median(usable().map(Target::prefill_ms_per_token).collect()),
             step_ms: median(usable().map(Target::step_ms).collect()),
+            call_ms: median(usable().map(Target::call_ms).collect()),
         };
+        let slots = usable().map(|t| f64::from(t.info.capacity.slots)).sum();
         self.precedence.update(now);
+        if cfg.counts_use() {
+            self.count_new();
+        }
+        for w in &mut self.waiting {
+            w.mark = match w.repeats_early {
+                true => REPEAT_MARK,
+                false => 0,
+            };
+        }
+        self.sort_by_order(cfg, now);
+        if cfg.workspace_shares && self.shares.mark(&mut self.waiting, weights, slots, now) {
+            self.sort_by_order(cfg, now);
+        }
+    }
+
+    // An offer is counted once a speed is known.
+    fn count_new(&mut self) {
+        for w in self.waiting.iter_mut().filter(|w| w.slot_ms == 0.0) {
+            w.slot_ms = self.speed.slot_ms(&w.offer);
+            if w.slot_ms > 0.0 {
+                self.shares.ask(w, w.queued_at);
+            }
+        }
+    }
+
+    fn sort_by_order(&mut self, cfg: &PlacementSettings, now: Timestamp) {
         let per_token = self.speed.prefill_ms_per_token;
         let mut waiting = std::mem::take(&mut self.waiting);
         for w in &mut waiting {
-            let priority = self.priority(w.offer.rank, cfg);
+            let priority = self.priority(w.offer.rank, w.mark, cfg);
             w.order = w.order(now, f64::from(w.offer.prompt) * per_token, priority);
         }
         self.waiting = waiting;
@@ -653,12 +771,11 @@
                     let (name, address) = (t.info.name.clone(), t.info.address);
                     t.grant(self.waiting[index].id, offer, now);
                     let w = self.waiting.remove(index);
-                    let is_late = matches!(w.order, Order::Late(..));
-                    if is_late {
+                    if w.is_late() {
                         self.late_grants.push_back(now);
                     }
                     if !w.offer.beyond_quota && !w.offer.resumes {
-                        self.precedence.record(w.offer.rank.route, !is_late);
+                        self.precedence.record(w.offer.rank.route, !w.is_late());
                     }
                     out.push((w, name, address, first_ms, proven));
                 }
@@ -703,20 +820,29 @@
             self.late_grants.pop_front();
         }
         let late_per_ms = (self.late_grants.len() + 1) as f64 / LATE_WINDOW_MS;
+        let in_flight = self.targets.values().map(|t| t.in_flight.len()).sum();
+        let pool_rate = self.returns.rate(in_flight, now);
+        let late = self.waiting.iter().filter(|w| w.is_late()).count();
+        let wait_per_ms = self.returns.ratio() / pool_rate;
+        let mut forecast = Forecast::new(wait_per_ms, late_per_ms, late);
         let mut out = Vec::new();
         let mut index = 0;
-        let mut late_ahead = 0;
         while index < self.waiting.len() {
             let w = &self.waiting[index];
             let waited_ms = now - w.queued_at;
             let left_ms = w.max_wait_ms(cfg) - waited_ms;
-            let is_late = matches!(w.order, Order::Late(..));
-            // Late requests are served only when no request on time is queued, so their recent
-            // service rate predicts the wait.
-            let unservable = is_late && f64::from(late_ahead) / late_per_ms > left_ms;
+            let first_ms = f64::from(w.offer.prompt) * self.speed.prefill_ms_per_token;
+            let until_late_ms = w.until_late_ms(now, first_ms);
+            let in_vain = match cfg.paced_returns && in_flight > 0 {
+                true => {
+                    forecast.is_in_vain(w, until_late_ms, left_ms)
+                        && !self.targets.values().any(|t| t.accepts(&w.offer, now))
+                }
+                false => forecast.is_late_in_vain(w, left_ms),
+            };
             let too_large = cfg.bounded_memory && self.is_too_large(&w.offer);
-            if left_ms > 0.0 && !unservable && !too_large {
-                late_ahead += i32::from(is_late);
+            if left_ms > 0.0 && !in_vain && !too_large {
+                forecast.keep(w, until_late_ms);
                 index += 1;
                 continue;
             }
@@ -729,7 +855,18 @@
             if !w.offer.beyond_quota {
                 self.precedence.record(w.offer.rank.route, false);
             }
-            let retry_after_ms = self.returns.schedule(&w.offer, waited_ms, now);
+            let retry_after_ms = match cfg.paced_returns {
+                true => {
+                    let room = ServiceRate {
+                        pool_rate,
+                        short_ms: now - self.short_since,
+                        workspace_rate: self.shares.rate(&w.offer.workspace, now),
+                        drain_ms: forecast.drain_ms(),
+                    };
+                    self.returns.pace(&w, room, now)
+                }
+                false => self.returns.schedule(&w.offer, waited_ms, now),
+            };
             let decision = Decision::Refuse {
                 reason,
                 retry_after_ms,
--- a/crates/wire/tests/rooms.rs
+++ b/crates/wire/tests/rooms.rs
@@ -1,6 +1,6 @@
 //! Sizes of the messages about rooms: links of small machines carry them.
 
-use rwd_placement::{MAX_WAIT_MS, Room, ShareUse};
+use rwd_placement::{MAX_WAIT_MS, Room, ShareOwner, ShareUse};
 use rwd_wire::{MAX_ROOM_ROWS, MAX_SHARE_ROWS, Message, ShardReport, ShardRoom, encode};
 
 fn room(n: u32) -> Room {
@@ -40,7 +40,8 @@
 fn a_report_with_names_of_the_greatest_length_is_at_most_1600_bytes() {
     let long = "w".repeat(64);
     let share = ShareUse {
-        workspace: long.parse().unwrap(),
+        owner: ShareOwner::Workspace(long.parse().unwrap()),
+        priority: u8::MAX,
         asked_ms_per_s: f64::MAX,
         given_ms_per_s: f64::MAX,
     };
