Stop sending to targets that break each connection

One of three targets, which went down and up by turns, reset each connection after it had accepted it: 1,944 of 1,999 broken sends went there within 4.5 s, 1,517 of them requests that may run once and ended with 502. The other two were full, and a target that fails at once always has free slots. Unlike refused connections, broken ones had only a cost and no pause.

After eight broken connections in a row, at two home nodes or more, a target is down: one request at a time probes it, with a pause that doubles up to 1 s. Ruled out: too many connections to the targets (one of three alone), slots (two full targets took 800 calls a second), quotas (not this service).

A node that is cut off itself does not take a target out, nor does a target that loses four in ten of its responses.

--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -52,6 +52,10 @@
 const DOWN_QUORUM: usize = 2;
 /// Longest time between two probes of a target that is down, in milliseconds.
 const MAX_DOWN_BACKOFF_MS: f64 = 1000.0;
+/// Broken connections in a row, at two home nodes or more, after which a target is down for all: it
+/// fails each request at once, so that it always has free slots and would attract what others have
+/// no room for. Many, so that a target which loses some of its responses stays in use.
+const BROKEN_IN_ROW: usize = 8;
 /// How long a response proves that a target works, in milliseconds.
 const PROVEN_MS: f64 = 1000.0;
 /// Backoff after a target reports that it is full, in milliseconds.
@@ -181,6 +185,8 @@
     holds_in_row: u32,
     // Whether the target itself says that it leaves.
     says_leaving: bool,
+    // The home nodes of the broken connections since the last response.
+    broken: Vec<InstanceName>,
     // While the target is down, it is probed with one request at a time.
     down: Option<Backoff>,
     last_response: Option<Timestamp>,
@@ -209,6 +215,7 @@
             holds: IndexMap::new(),
             holds_in_row: 0,
             says_leaving: false,
+            broken: Vec::new(),
             down: None,
             last_response: None,
         }
@@ -489,6 +496,7 @@
     pub fn record_first_byte(&mut self, id: OfferId, first_ms: f64, now: Timestamp) {
         self.last_response = Some(now);
         self.down = None;
+        self.broken.clear();
         let Some(f) = self.in_flight.get_mut(&id) else {
             return;
         };
@@ -621,6 +629,7 @@
             _ => {
                 self.last_response = Some(now);
                 self.down = None;
+                self.broken.clear();
                 self.backoffs.swap_remove(&done.home);
             }
         }
@@ -639,7 +648,10 @@
             SlotOutcome::Failed => self.record_failure(FAILED_WEIGHT, now),
             SlotOutcome::Full => self.backoff_until = now + FULL_BACKOFF_MS,
             SlotOutcome::Gone => self.backoff_until = now + GONE_BACKOFF_MS,
-            SlotOutcome::Broken => self.record_failure(BROKEN_WEIGHT, now),
+            SlotOutcome::Broken => {
+                self.record_failure(BROKEN_WEIGHT, now);
+                self.record_broken(done.home, now);
+            }
             SlotOutcome::Down => {
                 self.record_failure(UNREACHABLE_WEIGHT, now);
                 self.mark_down(now);
@@ -694,6 +706,18 @@
         }
     }
 
+    // A single home node may be cut off itself.
+    fn record_broken(&mut self, home: InstanceName, now: Timestamp) {
+        if self.broken.len() == BROKEN_IN_ROW {
+            self.broken.remove(0);
+        }
+        self.broken.push(home);
+        let first = &self.broken[0];
+        if self.broken.len() == BROKEN_IN_ROW && self.broken.iter().any(|h| h != first) {
+            self.mark_down(now);
+        }
+    }
+
     // Requests that fail together double the backoff only once.
     fn mark_down(&mut self, now: Timestamp) {
         if self.down.is_none_or(|b| now >= b.until) {
--- a/crates/placement/tests/placement/main.rs
+++ b/crates/placement/tests/placement/main.rs
@@ -1,5 +1,6 @@
 //! Tests of placement under given load patterns, without a network.
 
+mod broken;
 mod choice;
 mod handover;
 mod helper;
