--- a/crates/peer/src/detector.rs
+++ b/crates/peer/src/detector.rs
@@ -26,6 +26,9 @@
 /// A result that is later than its limit by this much tells more about this node than about the peer.
 const MAX_LATENESS: Duration = Duration::from_millis(100);
 
+/// Longest time for which a step without a result keeps others from probing its node.
+const MAX_STEP: Duration = Duration::from_secs(15);
+
 /// When silence of many nodes counts as a mass loss. A node reacts to the first late reply by probing
 /// more nodes at once, and decides on what these probes show.
 #[derive(Clone, Copy, Debug)]
@@ -101,10 +104,10 @@
     pending: IndexMap<InstanceName, Instant>,
     // Nodes that did not reply and are probed through proxies.
     confirming: IndexSet<InstanceName>,
-    // Nodes that this node itself has suspected, which it may hear of again from others.
-    accused: IndexSet<InstanceName>,
-    // Nodes that others suspect too, while they are probed again.
-    corroborated: IndexSet<InstanceName>,
+    // Nodes that this node itself has suspected, which it may hear of again from others; since when.
+    accused: IndexMap<InstanceName, Instant>,
+    // Suspect nodes that are failed if their second probe gets no reply.
+    last_chance: IndexSet<InstanceName>,
     // The last outcome of each node's probes: when, and whether it was silent.
     outcomes: IndexMap<InstanceName, (Instant, bool)>,
     extra_probes: usize,
@@ -120,8 +123,8 @@
             order: ProbeOrder::default(),
             pending: IndexMap::new(),
             confirming: IndexSet::new(),
-            accused: IndexSet::new(),
-            corroborated: IndexSet::new(),
+            accused: IndexMap::new(),
+            last_chance: IndexSet::new(),
             outcomes: IndexMap::new(),
             extra_probes: mass_loss.map_or(0, |m| m.max_extra_probes),
             in_mass_loss: false,
@@ -138,7 +141,7 @@
         let mut steps = Vec::new();
         match event {
             Event::Tick => {
-                self.tick(directory);
+                self.tick(directory, &mut steps);
                 let next = self.order.next(directory, rng);
                 self.start(next, &mut steps);
             }
@@ -169,7 +172,7 @@
                 self.settle(&name);
                 info!(instance:% = name; "instance did not reply to probes");
                 if directory.suspect(&name) {
-                    self.accused.insert(name);
+                    self.accused.insert(name, Instant::now());
                     self.chain(directory, rng, &mut steps);
                 }
             }
@@ -179,15 +182,17 @@
         steps
     }
 
-    fn tick(&mut self, directory: &Directory) {
-        directory.expire(self.cfg.suspicion);
+    fn tick(&mut self, directory: &Directory, steps: &mut Vec<Step>) {
         let Some(cfg) = self.mass_loss else {
-            return;
+            return directory.expire(self.cfg.suspicion);
         };
+        // The node that suspects another decides; the rest stand in if it is lost.
+        directory.expire(2 * self.cfg.suspicion);
         self.extra_probes = cfg.max_extra_probes.min(self.extra_probes + 1);
         self.outcomes.retain(|_, (at, _)| at.elapsed() < WINDOW);
-        self.accused.retain(|name| directory.is_suspect(name));
+        self.pending.retain(|_, at| at.elapsed() < MAX_STEP);
         self.update_mode(cfg);
+        self.end_suspicions(directory, steps);
     }
 
     // Nodes often fail together.
@@ -225,7 +230,7 @@
     fn settle(&mut self, name: &InstanceName) {
         self.pending.swap_remove(name);
         self.confirming.swap_remove(name);
-        self.corroborated.swap_remove(name);
+        self.last_chance.swap_remove(name);
     }
 
     fn record(&mut self, name: InstanceName, silent: bool) {
@@ -279,16 +284,12 @@
         }
         let silent = std::mem::take(&mut self.confirming);
         for name in silent.into_iter().chain([name]) {
-            let corroborated = directory.is_suspect(&name) && !self.accused.contains(&name);
+            let corroborated = directory.is_suspect(&name) && !self.accused.contains_key(&name);
             if directory.suspect(&name) {
-                self.accused.insert(name.clone());
+                self.accused.insert(name.clone(), Instant::now());
             }
             match corroborated {
-                true => {
-                    self.pending.insert(name.clone(), Instant::now());
-                    self.corroborated.insert(name.clone());
-                    steps.push(Step::ProbeAgain(name));
-                }
+                true => self.probe_last(name, steps),
                 false => self.settle(&name),
             }
             // Others must learn of the suspicion, and more silent nodes must be found.
@@ -296,13 +297,34 @@
         }
     }
 
+    fn probe_last(&mut self, name: InstanceName, steps: &mut Vec<Step>) {
+        self.pending.insert(name.clone(), Instant::now());
+        self.last_chance.insert(name.clone());
+        steps.push(Step::ProbeAgain(name));
+    }
+
+    // A refutation may have reached others but not this node: the suspects of this node get a last
+    // probe before they are failed.
+    fn end_suspicions(&mut self, directory: &Directory, steps: &mut Vec<Step>) {
+        self.accused.retain(|name, _| directory.is_suspect(name));
+        let limit = self.cfg.suspicion.saturating_sub(self.cfg.probe_timeout);
+        let due: Vec<_> = self
+            .accused
+            .iter()
+            .filter(|(name, since)| since.elapsed() >= limit && !self.last_chance.contains(*name))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.probe_last(name, steps);
+        }
+    }
+
     fn still_silent(&mut self, name: &InstanceName, directory: &Directory) {
         let on_time = !self.stood_still(name, self.cfg.probe_timeout);
-        let corroborated = self.corroborated.contains(name);
+        let decides = on_time && self.last_chance.contains(name) && directory.is_suspect(name);
         self.settle(name);
-        let decides = on_time && corroborated && self.in_mass_loss && directory.is_suspect(name);
         if decides && directory.failed(name) {
-            info!(event = "member_failed_early", instance:% = name; "instance is one of many that fell silent, and others suspect it too");
+            info!(event = "member_failed", instance:% = name, mass_loss = self.in_mass_loss; "suspect instance did not reply to its last probe");
         }
     }
 
--- a/crates/peer/tests/cluster/mod.rs
+++ b/crates/peer/tests/cluster/mod.rs
@@ -347,6 +347,10 @@
             match stalled_until > self.tick {
                 true => self.at(stalled_until, action),
                 false if self.is_up(actor) => self.carry_out(action),
+                // A suspended process carries on with it when it wakes.
+                false if self.peers[actor].failure == Some(Failure::Silent) => {
+                    self.at(self.tick + 1, action);
+                }
                 false => (),
             }
         }
