Tell a restarted node that it is behind its earlier incarnation

A process that restarts after its clock was set back has a lower incarnation than its peers know. They told it so only if they took it for suspect or failed; until then they kept the earlier process's marks and ignored the new one's. Test red before (the view still has the node as leaving), green after.

--- a/crates/peer/src/directory.rs
+++ b/crates/peer/src/directory.rs
@@ -51,6 +51,9 @@
     transmissions: u32,
     listed: bool,
     listed_leaving: bool,
+    // Its last gossip was from an incarnation below the known one: it restarted after its clock was
+    // set back.
+    is_behind: bool,
 }
 
 struct DigestEntry {
@@ -189,6 +192,9 @@
     pub fn merge_gossip(&self, gossip: &Gossip) {
         self.modify(|inner| {
             inner.merge_update(&gossip.own);
+            if let Some(m) = inner.members.get_mut(&gossip.own.name) {
+                m.is_behind = gossip.own.incarnation < m.update.incarnation;
+            }
             for update in &gossip.updates {
                 inner.merge_update(update);
             }
@@ -364,6 +370,7 @@
             transmissions: if listed { u32::MAX } else { 0 },
             listed,
             listed_leaving,
+            is_behind: false,
         };
         self.members.insert(member.update.name.clone(), member);
     }
@@ -419,9 +426,10 @@
 
     fn gossip_to(&mut self, peer: &InstanceName) -> Gossip {
         // Without it, a node that was declared failed would not learn so once the update has had
-        // its transmissions, and would stay out of the views of others.
+        // its transmissions, and would stay out of the views of others. One that is behind would
+        // be ignored for good.
         let accusation = self.members.get(peer);
-        let accusation = accusation.filter(|m| m.update.liveness > Liveness::Alive);
+        let accusation = accusation.filter(|m| m.update.liveness > Liveness::Alive || m.is_behind);
         let accusation = accusation.map(|m| m.update.clone());
         // Each update is transmitted a number of times logarithmic in the number of nodes.
         let max_transmissions = 4 * (usize::BITS - self.members.len().leading_zeros()).max(1);
--- a/crates/peer/tests/directory.rs
+++ b/crates/peer/tests/directory.rs
@@ -109,6 +109,32 @@
     assert!(!d.is_own_incarnation(Incarnation(99)));
 }
 
+/// A node that was leaving restarts after its clock was stepped, either way and then back. The others
+/// take it for the new process, and learn when that leaves in turn.
+#[tokio::test(start_paused = true)]
+async fn a_restarted_node_is_known_whichever_way_its_clock_was_stepped() {
+    let other = directory("b");
+    let mut leaving = member("a", 20_000, 3, Liveness::Alive);
+    for incarnation in [10_000, 30_000, 20_000, 10_000] {
+        leaving.leaving = true;
+        other.merge_gossip(&Gossip {
+            own: leaving.clone(),
+            ..gossip("a", vec![])
+        });
+        assert_eq!(other.view().active().count(), 1);
+        let restarted = Directory::new(member("a", incarnation, 0, Liveness::Alive));
+        for _ in 0..2 {
+            other.merge_gossip(&restarted.gossip_to(&"b".parse().unwrap()));
+            restarted.merge_gossip(&other.gossip_to(&"a".parse().unwrap()));
+        }
+        assert_eq!(other.view().active().count(), 2, "{incarnation}");
+        restarted.set_leaving();
+        other.merge_gossip(&restarted.gossip_to(&"b".parse().unwrap()));
+        assert_eq!(other.view().active().count(), 1, "{incarnation}");
+        leaving = restarted.own();
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_failed_node_on_a_lagging_list_stays_failed_until_it_gossips() {
     let d = directory("a");
