Tell lives of quota reports apart without ordering them

A life that a coordinator has not seen is a new one; reports of the two before it are late. Ruled out: taking the directory's incarnation, which can grow within a process and would count refunds twice.

--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -125,7 +125,38 @@
     // Units that are expected to be claimed by refused callers at their retry-after times.
     promised: f64,
     // The latest usage report of each node.
-    totals: IndexMap<InstanceName, QuotaTotals>,
+    totals: IndexMap<InstanceName, Report>,
+}
+
+/// Earlier incarnations of a node whose late reports are recognized.
+const MAX_EARLIER_LIVES: usize = 2;
+
+// Incarnations are told apart but not ordered: a process may restart after its clock was set back.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    totals: QuotaTotals,
+    earlier: [Incarnation; MAX_EARLIER_LIVES],
+}
+
+impl Report {
+    fn first(totals: QuotaTotals) -> Self {
+        Self {
+            totals,
+            earlier: [totals.life; MAX_EARLIER_LIVES],
+        }
+    }
+
+    // The first report of the next incarnation, which started from zero.
+    fn next_life(&self, life: Incarnation) -> Self {
+        let mut earlier = self.earlier;
+        earlier.rotate_right(1);
+        earlier[0] = self.totals.life;
+        let totals = QuotaTotals {
+            life,
+            ..QuotaTotals::default()
+        };
+        Self { totals, earlier }
+    }
 }
 
 /// Refill rates of a bucket, in units per millisecond, and its capacities.
@@ -175,21 +206,20 @@
 
     // Reports are running totals, so that lost, late or duplicate messages do no harm.
     fn reconcile(&mut self, node: &InstanceName, totals: QuotaTotals) {
-        let before = match self.totals.get(node) {
+        let known = match self.totals.get(node) {
             // Usage under an earlier coordinator does not count against this bucket.
-            None => totals,
-            Some(before) if totals.life > before.life => QuotaTotals::default(),
-            Some(before) => *before,
+            None => Report::first(totals),
+            Some(known) if known.totals.life == totals.life => *known,
+            Some(known) if known.earlier.contains(&totals.life) => return,
+            Some(known) => known.next_life(totals.life),
         };
-        let is_stale = before.life > totals.life
-            || before.spent_alone > totals.spent_alone
-            || before.returned > totals.returned;
-        if is_stale {
+        let before = known.totals;
+        if before.spent_alone > totals.spent_alone || before.returned > totals.returned {
             return;
         }
         self.within += totals.returned - before.returned;
         self.within -= totals.spent_alone - before.spent_alone;
-        self.totals.insert(node.clone(), totals);
+        self.totals.insert(node.clone(), Report { totals, ..known });
     }
 
     fn refill(&mut self, params: &BucketParams, now: Timestamp) {
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -197,6 +197,25 @@
     );
 }
 
+/// A node restarts after its clock was set back, and again after that was undone. Its usage and
+/// refunds count, and late reports of its earlier processes do not.
+#[test]
+fn usage_counts_after_a_restart_whichever_way_the_clock_was_stepped() {
+    let full = units_left_after(&[]);
+    let first = totals(20_000, 900_000.0, 800_000.0);
+    let behind = totals(10_000, 7_000.0, 1_000.0);
+    let ahead = totals(30_000, 4_000.0, 2_000.0);
+    assert_eq!(units_left_after(&[first, behind]), full - 6_000.0);
+    assert_eq!(units_left_after(&[first, ahead]), full - 2_000.0);
+    assert_eq!(units_left_after(&[first, behind, first]), full - 6_000.0);
+    assert_eq!(
+        units_left_after(&[first, behind, ahead, first, behind]),
+        full - 8_000.0
+    );
+    let more = totals(10_000, 9_000.0, 1_000.0);
+    assert_eq!(units_left_after(&[first, behind, more]), full - 8_000.0);
+}
+
 /// Demands of a busy node keep arriving out of order, and the node refunds many of the units that
 /// it leases. No window may grant more than the bound.
 #[test]
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -265,7 +265,7 @@
 /// Both totals are monotonic, so messages may be lost, delayed or duplicated.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct QuotaTotals {
-    /// The node's incarnation; the totals start at zero in each.
+    /// The node's incarnation; the totals start at zero in each. Told apart, not ordered.
     pub life: Incarnation,
     /// Units granted by other coordinators or from the node's own share, since the node first asked
     /// this coordinator.
