--- a/crates/gateway/src/crash_sync.rs
+++ b/crates/gateway/src/crash_sync.rs
@@ -16,11 +16,12 @@
 use rwd_types::{InstanceName, TargetName};
 use rwd_wire::Message;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::clock::UnixClock;
 use crate::{Store, StoreReplica, StoredBlock, clock};
 
 /// Number of nodes to which news are pushed.
@@ -49,6 +50,7 @@
 pub(crate) struct CrashGuard {
     directory: Arc<Directory>,
     links: Arc<Links>,
+    unix: UnixClock,
     inner: Mutex<Inner>,
     has_news: Notify,
     has_blocks: Notify,
@@ -59,6 +61,7 @@
         Self {
             directory,
             links,
+            unix: UnixClock::start(),
             inner: Mutex::default(),
             has_news: Notify::new(),
             has_blocks: Notify::new(),
@@ -111,18 +114,18 @@
 
     /// Adds blocks that the store has kept.
     pub fn restore(&self, blocks: Vec<StoredBlock>) {
-        let unix_ms = unix_ms();
+        let now = clock::now();
         let blocked = blocks.into_iter().map(|b| BlockNews {
             set: b.set,
-            first_crash_ms: (unix_ms - b.first_crash_ms).max(0.0),
-            since_ms: (unix_ms - b.since_ms).max(0.0),
+            first_crash_ms: self.unix.age_ms(b.first_crash_ms, now),
+            since_ms: self.unix.age_ms(b.since_ms, now),
             lasts_ms: b.lasts_ms,
         });
         let news = CrashNews {
             blocked: blocked.collect(),
             ..CrashNews::default()
         };
-        self.lock().ledger.merge(news, clock::now());
+        self.lock().ledger.merge(news, now);
     }
 
     // Any number of nodes may be lost, so the store keeps blocks too. The nodes that read the store
@@ -133,11 +136,11 @@
         let blocks = std::mem::take(&mut self.lock().unwritten);
         let mut failed = Vec::new();
         for b in blocks {
-            let unix_ms = unix_ms();
+            let now = clock::now();
             let stored = StoredBlock {
                 set: b.set.clone(),
-                first_crash_ms: unix_ms - b.first_crash_ms,
-                since_ms: unix_ms - b.since_ms,
+                first_crash_ms: self.unix.unix_ms(b.first_crash_ms, now),
+                since_ms: self.unix.unix_ms(b.since_ms, now),
                 lasts_ms: b.lasts_ms,
             };
             if let Err(e) = store.record_block(&stored, WRITE_TIMEOUT).await {
@@ -314,11 +317,6 @@
     }
 }
 
-fn unix_ms() -> f64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    now.unwrap_or_default().as_secs_f64() * 1000.0
-}
-
 fn hex(parts: &[u64]) -> String {
     let ids: Vec<_> = parts.iter().map(|p| format!("{p:x}")).collect();
     ids.join(",")
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 
 pub use crate::buffers::{BufferBudget, OverBudget, Reservation};
 pub use crate::catalog::{Catalog, Limits, Pool, Quota, RetryPolicy, Route, Workspace};
+pub use crate::clock::UnixClock;
 pub use crate::edge::{
     BadHeader, BadRequest, Batch, Feed, ListedNode, Lookup, Position, Protocol, Record,
     RequestHead, Store, StoreError, StoredBlock, TargetRequestHead, TargetResponseHead,
