--- a/crates/placement/src/handover.rs
+++ b/crates/placement/src/handover.rs
@@ -6,9 +6,13 @@
 
 use compact_str::CompactString;
 use derive_more::{Display, Error};
-use rwd_types::{PoolName, TargetName};
+use rwd_types::{InstanceName, PoolName, TargetName};
 use serde::{Deserialize, Serialize};
 
+use crate::scheduler::Pool;
+use crate::target::Target;
+use crate::{OfferId, Scheduler, Timestamp};
+
 /// Share of a target's slots that a scheduler grants until home nodes have reported.
 const SUCCESSOR_SLOT_SHARE: f64 = 0.5;
 /// Time after a takeover by which home nodes whose links broke have reported, in milliseconds: they
@@ -18,7 +22,7 @@
 /// milliseconds: home nodes report slots whose links were reset within 100 ms.
 const HOLD_MS: f64 = 150.0;
 /// Age up to which a report of a predecessor shows that it was active, in milliseconds.
-pub(crate) const ACTIVE_REPORT_MS: f64 = 4000.0;
+const ACTIVE_REPORT_MS: f64 = 4000.0;
 /// Age above which what a predecessor sent is only a hint, in milliseconds.
 pub(crate) const HINT_AGE_MS: f64 = 10_000.0;
 /// Targets in one message of a scheduler to its successor.
@@ -185,3 +189,73 @@
         }
     }
 }
+
+impl Pool {
+    /// The median speeds of the pool's targets.
+    pub fn median_speeds(&self) -> Option<Speeds> {
+        let all: Vec<_> = self.targets.values().map(Target::speeds).collect();
+        Speeds::median(&all)
+    }
+
+    /// Prepares for granting the slots of another scheduler's targets.
+    pub fn take_over(&mut self, now: Timestamp) {
+        let reported = self.reported.take();
+        self.had_predecessor = reported.is_some_and(|t| now - t < ACTIVE_REPORT_MS);
+        let median = self.median_speeds();
+        let targets = self.targets.values_mut();
+        targets.for_each(|t| t.take_over(median, now));
+    }
+}
+
+impl Scheduler {
+    /// Counts a request in progress that another scheduler granted, as its home node reports it.
+    ///
+    /// Returns the id for its outcome, or `None` if the target is unknown or has too many.
+    pub fn adopt(
+        &mut self,
+        held: &HeldSlot,
+        home: &InstanceName,
+        now: Timestamp,
+    ) -> Option<OfferId> {
+        // A pool may have been partitioned anew since the slot was granted.
+        let has = |p: &Pool| p.targets.contains_key(&held.target);
+        let pool = match self.pools.get(&held.shard) {
+            Some(p) if has(p) => held.shard.clone(),
+            _ => self.pools.iter().find(|(_, p)| has(p))?.0.clone(),
+        };
+        let target = self.pools.get_mut(&pool)?.targets.get_mut(&held.target)?;
+        let id = OfferId(self.next_id + 1);
+        if let Some(before) = target.adopt(id, held, home, now)? {
+            self.granted.swap_remove(&before);
+        }
+        self.next_id = id.0;
+        self.granted.insert(id, (pool, held.target.clone()));
+        Some(id)
+    }
+
+    /// What the successor is told of a pool's targets, some of them with each call; nothing if this
+    /// scheduler does not schedule the pool.
+    pub fn reports(&mut self, pool: &PoolName, now: Timestamp) -> Vec<TargetReport> {
+        let Some(pool) = self.pools.get_mut(pool).filter(|p| p.is_active(now)) else {
+            return Vec::new();
+        };
+        let count = pool.targets.len().min(MAX_REPORTS);
+        let first = pool.next_report;
+        pool.next_report = (first + count) % pool.targets.len().max(1);
+        let targets = pool.targets.values().cycle().skip(first).take(count);
+        targets.map(|t| t.report(now)).collect()
+    }
+
+    /// Applies what a pool's scheduler has learned, unless this one schedules the pool.
+    pub fn learn(&mut self, pool: &PoolName, reports: &[TargetReport], now: Timestamp) {
+        let Some(pool) = self.pools.get_mut(pool).filter(|p| !p.is_active(now)) else {
+            return;
+        };
+        pool.reported = Some(now);
+        for report in reports {
+            if let Some(t) = pool.targets.get_mut(&report.target) {
+                t.learn(report, now);
+            }
+        }
+    }
+}
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -1,20 +1,17 @@
 //! The queue of waiting requests, its service order, and admission control.
 
 use indexmap::IndexMap;
-use rwd_types::{InstanceName, PoolName, RequestRate, TargetName};
+use rwd_types::{PoolName, RequestRate, TargetName};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use crate::handover::{ACTIVE_REPORT_MS, MAX_REPORTS, Speeds, slot_share};
+use crate::handover::slot_share;
 use crate::memory::{MemoryBound, Role, exceeds, worst_case};
 use crate::queue::{Order, Priority, Waiting};
 use crate::request_limit::RequestLimit;
 use crate::returns::Returns;
 use crate::target::Target;
-use crate::{
-    HeldSlot, LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo,
-    TargetReport, Timestamp,
-};
+use crate::{LimitNotice, LimitReport, Offer, OfferId, Rank, SlotOutcome, TargetInfo, Timestamp};
 
 /// Requests that one round may skip because no target fits them.
 const MAX_SKIPPED: usize = 48;
@@ -120,8 +117,8 @@
 }
 
 #[derive(Default)]
-struct Pool {
-    targets: IndexMap<TargetName, Target>,
+pub(crate) struct Pool {
+    pub(crate) targets: IndexMap<TargetName, Target>,
     waiting: Vec<Waiting>,
     returns: Returns,
     // Grants to late requests within the last `LATE_WINDOW_MS`.
@@ -133,11 +130,11 @@
     // When the scheduler began to get offers for the pool.
     taken_over: Timestamp,
     // When another scheduler of the pool last reported its targets.
-    reported: Option<Timestamp>,
+    pub(crate) reported: Option<Timestamp>,
     // Whether another scheduler was active just before this one took over.
-    had_predecessor: bool,
+    pub(crate) had_predecessor: bool,
     // Index of the next target that is reported to the successor.
-    next_report: usize,
+    pub(crate) next_report: usize,
     // Longest time limit of a request, in milliseconds.
     longest_ms: f64,
     // The fraction of the limits of targets that is used now.
@@ -170,9 +167,9 @@
 #[derive(Default)]
 pub struct Scheduler {
     cfg: PlacementSettings,
-    pools: IndexMap<PoolName, Pool>,
-    granted: IndexMap<OfferId, (PoolName, TargetName)>,
-    next_id: u64,
+    pub(crate) pools: IndexMap<PoolName, Pool>,
+    pub(crate) granted: IndexMap<OfferId, (PoolName, TargetName)>,
+    pub(crate) next_id: u64,
     slot_fraction: Option<f64>,
     visible_share: Option<f64>,
     // Limits of targets that are in no pool, with the start times of their processes if these are
@@ -427,57 +424,6 @@
         std::mem::take(&mut self.takeovers)
     }
 
-    /// Counts a request in progress that another scheduler granted, as its home node reports it.
-    ///
-    /// Returns the id for its outcome, or `None` if the target is unknown or has too many.
-    pub fn adopt(
-        &mut self,
-        held: &HeldSlot,
-        home: &InstanceName,
-        now: Timestamp,
-    ) -> Option<OfferId> {
-        // A pool may have been partitioned anew since the slot was granted.
-        let has = |p: &Pool| p.targets.contains_key(&held.target);
-        let pool = match self.pools.get(&held.shard) {
-            Some(p) if has(p) => held.shard.clone(),
-            _ => self.pools.iter().find(|(_, p)| has(p))?.0.clone(),
-        };
-        let target = self.pools.get_mut(&pool)?.targets.get_mut(&held.target)?;
-        let id = OfferId(self.next_id + 1);
-        if let Some(before) = target.adopt(id, held, home, now)? {
-            self.granted.swap_remove(&before);
-        }
-        self.next_id = id.0;
-        self.granted.insert(id, (pool, held.target.clone()));
-        Some(id)
-    }
-
-    /// What the successor is told of a pool's targets, some of them with each call; nothing if this
-    /// scheduler does not schedule the pool.
-    pub fn reports(&mut self, pool: &PoolName, now: Timestamp) -> Vec<TargetReport> {
-        let Some(pool) = self.pools.get_mut(pool).filter(|p| p.is_active(now)) else {
-            return Vec::new();
-        };
-        let count = pool.targets.len().min(MAX_REPORTS);
-        let first = pool.next_report;
-        pool.next_report = (first + count) % pool.targets.len().max(1);
-        let targets = pool.targets.values().cycle().skip(first).take(count);
-        targets.map(|t| t.report(now)).collect()
-    }
-
-    /// Applies what a pool's scheduler has learned, unless this one schedules the pool.
-    pub fn learn(&mut self, pool: &PoolName, reports: &[TargetReport], now: Timestamp) {
-        let Some(pool) = self.pools.get_mut(pool).filter(|p| !p.is_active(now)) else {
-            return;
-        };
-        pool.reported = Some(now);
-        for report in reports {
-            if let Some(t) = pool.targets.get_mut(&report.target) {
-                t.learn(report, now);
-            }
-        }
-    }
-
     /// Whether any offer is queued, so that the passage of time alone can cause a decision.
     pub fn has_waiting(&self) -> bool {
         self.pools.values().any(|p| !p.waiting.is_empty())
@@ -505,23 +451,11 @@
 type Granted = (Waiting, TargetName, SocketAddr, f64, bool);
 
 impl Pool {
-    fn is_active(&self, now: Timestamp) -> bool {
+    /// Whether this scheduler has got offers for the pool lately.
+    pub fn is_active(&self, now: Timestamp) -> bool {
         self.last_offer.is_some_and(|t| now - t <= HANDOVER_MS)
     }
 
-    fn median_speeds(&self) -> Option<Speeds> {
-        let all: Vec<_> = self.targets.values().map(Target::speeds).collect();
-        Speeds::median(&all)
-    }
-
-    fn take_over(&mut self, now: Timestamp) {
-        let reported = self.reported.take();
-        self.had_predecessor = reported.is_some_and(|t| now - t < ACTIVE_REPORT_MS);
-        let median = self.median_speeds();
-        let targets = self.targets.values_mut();
-        targets.for_each(|t| t.take_over(median, now));
-    }
-
     fn set_limit_share(&mut self, visible_share: f64, now: Timestamp) {
         let share = match now - self.taken_over < HANDOVER_MS {
             true => visible_share * HANDOVER_SHARE,
