Fill in the new fields of offers in the lab's storms; count equal request ids

Cause: two storms of rwd-lab build offers and did not compile since offers carry the longest response; their values stay (off, as before). Two lost requests of one id counted as one in the memory of a target.

--- a/crates/lab/tests/limit_storms.rs
+++ b/crates/lab/tests/limit_storms.rs
@@ -506,6 +506,7 @@
             parts: vec![PromptPart { id, tokens: 50 }],
             prompt: 100,
             output: 20,
+            max_output: 20,
             aim_left_ms: 600.0 - age_ms,
             time_left_ms: 3000.0 - age_ms,
             home: node_name(home),
@@ -514,6 +515,7 @@
             beyond_quota: false,
             returned: false,
             resumes: call.tries > 0,
+            last_resort: false,
         };
         let now = at(self.now);
         let incarnation = self.nodes[to].incarnation;
--- a/crates/lab/tests/withheld_storms.rs
+++ b/crates/lab/tests/withheld_storms.rs
@@ -225,6 +225,7 @@
             parts: Vec::new(),
             prompt: 0,
             output: 0,
+            max_output: 0,
             aim_left_ms: 500.0 - (self.now - request.sent_at),
             time_left_ms: 3000.0 - (self.now - request.sent_at),
             home: home(request.home),
@@ -233,6 +234,7 @@
             beyond_quota: false,
             returned: false,
             resumes: false,
+            last_resort: false,
         };
         let s = &mut self.schedulers[n];
         let id = s.scheduler.offer(offer, Timestamp(self.now));
--- a/crates/placement/src/memory.rs
+++ b/crates/placement/src/memory.rs
@@ -95,7 +95,13 @@
             last.until = Timestamp(last.until.0.max(detached.until.0));
             return;
         }
-        self.detached.insert(key, detached);
+        // Callers may use one id for several requests.
+        let entry = self.detached.entry(key).or_insert(Detached {
+            tokens: 0,
+            ..detached
+        });
+        entry.tokens = entry.tokens.saturating_add(detached.tokens);
+        entry.until = Timestamp(entry.until.0.max(detached.until.0));
     }
 
     /// Removes a request that its home node has reported again.
