--- a/crates/lab/tests/limit_storms.rs
+++ b/crates/lab/tests/limit_storms.rs
@@ -506,6 +506,7 @@
             parts: vec![PromptPart { id, tokens: 50 }],
             prompt: 100,
             output: 20,
+            max_output: 20,
             aim_left_ms: 600.0 - age_ms,
             time_left_ms: 3000.0 - age_ms,
             home: node_name(home),
@@ -515,7 +516,6 @@
             returned: false,
             resumes: call.tries > 0,
             reuse_ms: 500.0,
-            max_output: 0,
             last_resort: false,
         };
         let now = at(self.now);
--- a/crates/lab/tests/withheld_storms.rs
+++ b/crates/lab/tests/withheld_storms.rs
@@ -225,6 +225,7 @@
             parts: Vec::new(),
             prompt: 0,
             output: 0,
+            max_output: 0,
             aim_left_ms: 500.0 - (self.now - request.sent_at),
             time_left_ms: 3000.0 - (self.now - request.sent_at),
             home: home(request.home),
@@ -234,7 +235,6 @@
             returned: false,
             resumes: false,
             reuse_ms: 500.0,
-            max_output: 0,
             last_resort: false,
         };
         let s = &mut self.schedulers[n];
