Move a pool to another version of its targets under an allowance

An operator's order to move a service was read and ignored. Home nodes now keep to the old version of the targets and send to the new one only by counts that a decider grants from what it has reserved in the store; a sequential test on the answers of both versions decides whether all traffic moves or goes back. Nothing of this runs without the `rollouts` section of the settings.

Ruled out: shares instead of counts, which bound nothing over all nodes, and a ramp, half of which exceeds the tolerated share already.

--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -196,6 +196,7 @@
             },
             leaving: entry.leaving,
             warm_up_ms: entry.warm_up_ms,
+            version: entry.version.clone(),
         }
     }
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -7,9 +7,9 @@
 use compact_str::CompactString;
 use derive_more::{Display, Error, From};
 use http::{HeaderMap, request, response};
-use rwd_placement::{PromptPart, TargetEntry};
+use rwd_placement::{PromptPart, RolloutOrder, StatusRecord, TargetEntry};
 use rwd_types::{
-    RateError, RegionName, RequestRate, StoreEra, TargetName, WorkspaceName, ZoneName,
+    PoolName, RateError, RegionName, RequestRate, StoreEra, TargetName, WorkspaceName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 use std::future::Future;
@@ -180,6 +180,9 @@
     /// The nodes of the gateway, and the prompts that they block.
     #[display("nodes")]
     Nodes,
+    /// The states of roll-outs, written by the gateway.
+    #[display("roll-outs")]
+    Rollouts,
 }
 
 /// A node's entry in the list of nodes, from which starting nodes find the others.
@@ -219,6 +222,17 @@
     Node(ListedNode),
     /// Prompts that are blocked.
     Block(StoredBlock),
+    /// An operator's order of a roll-out; `None` if it was withdrawn.
+    Rollout(PoolName, Option<RolloutOrder>),
+    /// An order of a roll-out that cannot be parsed; the one before holds.
+    BadRollout {
+        /// The record's key.
+        key: CompactString,
+        /// What is invalid, and where.
+        reason: CompactString,
+    },
+    /// The state of a roll-out.
+    RolloutStatus(PoolName, StatusRecord),
     /// A record that cannot be parsed.
     Unreadable {
         /// The record's key.
@@ -285,4 +299,14 @@
         block: &StoredBlock,
         timeout: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Writes the state of a pool's roll-out if the log of [`Feed::Rollouts`] still ends at `at`. Returns
+    /// whether it did.
+    fn record_rollout(
+        &self,
+        pool: &PoolName,
+        status: &StatusRecord,
+        at: Position,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<bool, StoreError>> + Send;
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -165,6 +165,10 @@
                             readable = false;
                             warn!(event = "config", key:%, reason:%; "unreadable configuration; keeping the last valid one");
                         }
+                        Record::Rollout(pool, order) => replica.apply_order(&pool, order),
+                        Record::BadRollout { key, reason } if replica.has_rollouts() => {
+                            warn!(event = "rollout_order", key:%, reason:%, outcome = "invalid"; "invalid order of a roll-out; ignoring it");
+                        }
                         _ => (),
                     }
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,6 +25,7 @@
 use crate::proof::Permit;
 use crate::quota::QuotaStatus;
 use crate::refusal::Refusal;
+use crate::rollout::Rollouts;
 use crate::run::ActiveRequest;
 use crate::slots::Slots;
 use crate::stop::Admission;
@@ -78,6 +79,7 @@
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
     pub crash_guard: Arc<CrashGuard>,
+    pub rollouts: Arc<Rollouts>,
     pub output_shares: Mutex<IndexMap<CompactString, f64>>,
     /// The largest timeout that callers of each route set, in milliseconds.
     pub max_time_left_ms: Mutex<IndexMap<CompactString, f64>>,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -34,6 +34,7 @@
 use crate::gateway::{Body, Gateway, MAX_BUFFERED_BYTES};
 use crate::limits::Limiter;
 use crate::local_scheduler::LocalScheduler;
+use crate::rollout::Rollouts;
 use crate::server::{StopPhase, accept, plain_response};
 use crate::shards::{Shards, partition};
 use crate::slots::Slots;
@@ -146,7 +147,7 @@
         let membership = Membership::new(membership_cfg, directory.clone(), links.clone());
         let membership = Arc::new(membership);
         let scheduler = Arc::new(LocalScheduler::new(cfg.scheduling.placement()));
-        let replica = Arc::new(StoreReplica::default());
+        let replica = Arc::new(StoreReplica::with_rollouts(cfg.rollouts.is_some()));
         let connections = Arc::new(ConnectionPool::default());
         let withheld = Arc::new(WithheldTargets::default());
         let shards = Arc::new(Shards::default());
@@ -166,6 +167,14 @@
             shards.clone(),
             replica.clone(),
         ));
+        let rollouts = Arc::new(Rollouts::new(
+            instance.clone(),
+            directory.clone(),
+            links.clone(),
+            replica.clone(),
+            metrics.clone(),
+            cfg.rollouts,
+        ));
         let gateway = Arc::new(Gateway {
             protocol,
             instance,
@@ -178,6 +187,7 @@
             directory: directory.clone(),
             limiter: limiter.clone(),
             crash_guard: crash_guard.clone(),
+            rollouts: rollouts.clone(),
             output_shares: Mutex::new(IndexMap::new()),
             max_time_left_ms: Mutex::new(IndexMap::new()),
             metrics: metrics.clone(),
@@ -198,6 +208,7 @@
         let has_list = watch::Sender::new(false);
         let watch_reads = || reads.subscribe();
         let (store_for_blocks, reads_for_blocks) = (store.clone(), watch_reads());
+        let store_for_rollouts = store.clone();
         tasks.spawn(follow::configuration(
             store.clone(),
             replica.clone(),
@@ -257,6 +268,9 @@
             scheduler.clone(),
             shards.clone(),
         ));
+        tasks.spawn(rollouts.clone().follow_orders());
+        tasks.spawn(rollouts.clone().report(timer.clone()));
+        tasks.spawn(rollouts.clone().decide(store_for_rollouts, timer.clone()));
         tasks.spawn(scheduler.clone().run());
         tasks.spawn(spread_limits(slots.clone(), timer.clone()));
         tasks.spawn(end_holds(withheld, timer.clone()));
@@ -278,6 +292,7 @@
             slots,
             limiter,
             crash_guard,
+            rollouts,
             replica: replica.clone(),
             fresher_peer,
         });
@@ -477,6 +492,7 @@
     slots: Arc<Slots>,
     limiter: Arc<Limiter>,
     crash_guard: Arc<CrashGuard>,
+    rollouts: Arc<Rollouts>,
     replica: Arc<StoreReplica>,
     /// A node that was seen to have a fresher list of targets.
     fresher_peer: watch::Sender<Option<InstanceName>>,
@@ -525,6 +541,11 @@
                 let reply = self.limiter.serve_demand(&from, &workspace, units, totals);
                 ex.send_last(&reply).await
             }
+            Message::Rollout { pool, report } => {
+                let grant = self.rollouts.serve_report(&from, &pool, &report);
+                let reply = grant.map_or(Message::Unknown, Message::RolloutGrant);
+                ex.send_last(&reply).await
+            }
             _ => Err(rwd_peer::Error::Unexpected),
         };
         if let Err(e) = result {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -167,6 +167,8 @@
             ..
         } = started;
         let first_ms = clock::now() - sent;
+        let route = &self.request.admitted.route.name;
+        slot.record_answer(route, false, first_ms);
         slot.record_first_byte(first_ms).await;
         let first_byte = clock::now();
         self.request.writing_since = Some(first_byte);
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -2,13 +2,14 @@
 
 use indexmap::IndexMap;
 use log::{info, warn};
-use rwd_placement::{TargetEntry, Timestamp};
+use rwd_placement::{RolloutOrder, Stage, TargetEntry, Timestamp, Version};
 use rwd_types::{PoolName, StoreEra, TargetName};
-use rwd_wire::{StoreCursor, StoreUpdate};
+use rwd_wire::{KnownOrder, StoreCursor, StoreUpdate};
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::watch;
 
 use crate::catalog_sync::CatalogSource;
+use crate::orders::Orders;
 use crate::{Catalog, Record, clock};
 
 /// Time without a confirmed list of targets above which the store counts as unavailable, in
@@ -64,6 +65,8 @@
     // Number of the last change of each target, including removed ones.
     changes: IndexMap<TargetName, u64>,
     change: u64,
+    // Orders of roll-outs; none if these are switched off.
+    orders: Option<Orders>,
 }
 
 /// Local replica of the store; versions never go backwards.
@@ -85,6 +88,66 @@
 }
 
 impl StoreReplica {
+    /// A replica that also keeps the orders of roll-outs, if these are switched on.
+    pub fn with_rollouts(on: bool) -> Self {
+        let inner = Inner {
+            orders: on.then(Orders::default),
+            ..Inner::default()
+        };
+        Self {
+            inner: Mutex::new(inner),
+            ..Self::default()
+        }
+    }
+
+    /// Whether orders of roll-outs are kept.
+    pub fn has_rollouts(&self) -> bool {
+        self.lock().orders.is_some()
+    }
+
+    // Changes the orders; `change` returns whether there is news for other nodes.
+    fn change_orders(&self, change: impl FnOnce(&mut Orders) -> bool) {
+        let mut inner = self.lock();
+        let changed = inner.orders.as_mut().is_some_and(change);
+        if changed {
+            inner.change += 1;
+            drop(inner);
+            self.notify();
+        }
+    }
+
+    /// Applies an order that was read from the store, or its withdrawal.
+    pub fn apply_order(&self, pool: &PoolName, order: Option<RolloutOrder>) {
+        self.change_orders(|orders| orders.apply(pool, order, clock::now()));
+    }
+
+    /// Applies the orders that another node knows as of `as_of`.
+    pub fn merge_orders(&self, news: Vec<KnownOrder>, as_of: Timestamp) {
+        self.change_orders(|orders| {
+            let changed = news.into_iter().map(|n| orders.merge(n, as_of));
+            changed.fold(false, |any, changed| any | changed)
+        });
+    }
+
+    /// Records how an order ended.
+    pub fn end_order(&self, pool: &PoolName, order: &RolloutOrder, stage: Stage) {
+        self.change_orders(|orders| orders.end(pool, order, stage));
+    }
+
+    /// The newest order of each pool.
+    pub fn orders(&self) -> Vec<KnownOrder> {
+        let inner = self.lock();
+        let orders = inner.orders.as_ref();
+        orders.map_or(Vec::new(), |o| o.list(clock::now()))
+    }
+
+    /// The version of a listed target and its warm-up time, in milliseconds.
+    pub fn target_version(&self, target: &TargetName) -> Option<(Version, f64)> {
+        let inner = self.lock();
+        let entry = inner.targets.get(target)?;
+        Some((entry.version.clone(), entry.warm_up_ms))
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -381,6 +444,10 @@
             epoch: self.epoch,
             change: inner.change,
             held_ms: 0.0,
+            orders: inner
+                .orders
+                .as_ref()
+                .map_or(Vec::new(), |o| o.list(clock::now())),
         }
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -35,6 +35,9 @@
 const MIN_FIRST_BYTE_TIMEOUT_MS: f64 = 900.0;
 /// Minimum first-byte timeout of a target that has recently responded to others, in milliseconds.
 const PROVEN_FIRST_BYTE_TIMEOUT_MS: f64 = 2000.0;
+/// Time for which a target is not granted to this node again after a slot of it was given back because
+/// of a roll-out, in milliseconds.
+const ROLLOUT_HOLD_MS: f64 = 200.0;
 /// Idle timeout of a stream in progress, in milliseconds.
 const STREAM_IDLE_TIMEOUT_MS: f64 = 1600.0;
 
@@ -59,6 +62,8 @@
     withheld: u32,
     // Where it has been sent.
     addresses: Vec<SocketAddr>,
+    // Whether its last send went to the old version of a roll-out; none if there was no send.
+    began_old: Option<bool>,
     /// Events of the response that have been relayed.
     pub events: u32,
     /// When the current target began to write its response.
@@ -124,6 +129,7 @@
             unreachable: 0,
             withheld: 0,
             addresses: Vec::new(),
+            began_old: None,
             events: 0,
             writing_since: None,
             _in_progress: in_progress,
@@ -165,6 +171,9 @@
             match attempt {
                 Attempt::Complete(parts, body) => {
                     let failed = parts.status.is_server_error();
+                    let ms = clock::now() - dispatch.sent;
+                    let route = &self.admitted.route.name;
+                    dispatch.slot.record_answer(route, failed, ms);
                     let outcome = if failed {
                         SlotOutcome::Failed
                     } else {
@@ -287,6 +296,22 @@
             info!(event = "repeat_budget", request:% = self.admitted.head.id; "retry budget exhausted");
             return Err(Refusal::NotRun);
         }
+        let (pool, slot) = (&self.admitted.pool, &dispatch.slot);
+        let is_first = self.began_old.is_none();
+        let entered = self
+            .gateway
+            .rollouts
+            .enter(pool, &slot.target, &slot.rule, is_first);
+        let Some(in_use) = entered else {
+            info!(event = "rollout_held", request:% = self.admitted.head.id, target:% = slot.target, rule:? = slot.rule; "a roll-out has gone on while the request waited for its slot");
+            let left_ms = ROLLOUT_HOLD_MS;
+            return Ok((
+                dispatch,
+                Attempt::Withheld(Withheld::Held { left_ms }, permit),
+            ));
+        };
+        self.began_old = Some(!in_use.is_new());
+        dispatch.slot.in_use = Some(in_use);
         self.gateway
             .metrics
             .slot_wait_ms
@@ -324,7 +349,9 @@
     }
 
     async fn acquire_slot(&self, left_ms: f64) -> Result<Slot, Refusal> {
-        let slot = self.gateway.slots.acquire(self.offer());
+        let offer = self.offer();
+        let rule = offer.version.clone();
+        let slot = self.gateway.slots.acquire(offer);
         let limit = Duration::from_secs_f64(left_ms / 1000.0);
         let acquired = tokio::select! {
             biased;
@@ -332,7 +359,7 @@
             acquired = timeout(limit, slot) => acquired,
         };
         match acquired {
-            Ok(Ok(slot)) => Ok(slot),
+            Ok(Ok(slot)) => Ok(slot.with_rule(rule)),
             Ok(Err(declined)) => {
                 info!(event = "declined", request:% = self.admitted.head.id, no_target = declined.no_target; "no slot granted");
                 let retry_after_ms = declined.retry_after_ms;
@@ -375,6 +402,7 @@
             let mut offer = self.offer();
             offer.exclude.push(current.clone());
             offer.resumes = true;
+            let rule = offer.version.clone();
             let gateway = self.gateway.clone();
             let slot = tokio::select! {
                 output = &mut pending => return Some(output),
@@ -383,7 +411,7 @@
             if let Ok(slot) = slot
                 && gateway.limiter.may_retry(&self.admitted.pool)
             {
-                self.failover_slot = Some(slot);
+                self.failover_slot = Some(slot.with_rule(rule));
                 return None;
             }
         }
@@ -416,6 +444,10 @@
             beyond_quota: a.beyond_quota,
             returned: a.returned,
             resumes: self.sends > 0,
+            version: self
+                .gateway
+                .rollouts
+                .choose(&a.pool, self.began_old == Some(true)),
         }
     }
 
--- a/crates/gateway/src/run/failure.rs
+++ b/crates/gateway/src/run/failure.rs
@@ -49,6 +49,11 @@
         }
         self.in_flight = false;
         let ms = clock::now() - dispatch.sent;
+        if let Attempt::Unresponsive = attempt {
+            // It was given up before it came: at least as slow as this.
+            let route = &self.admitted.route.name;
+            dispatch.slot.record_answer(route, false, ms);
+        }
         let (outcome, refusal, what, permit) = match attempt {
             Attempt::Unreachable(permit) => {
                 let permit = self.permit_after_unreachable(permit);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use compact_str::{CompactString, ToCompactString};
 use derive_more::{Display, Error};
-use rwd_placement::PlacementSettings;
+use rwd_placement::{PlacementSettings, RolloutLimits};
 use rwd_types::{InstanceName, RegionName, Secret, ZoneName};
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
@@ -11,6 +11,10 @@
 
 use crate::ListedNode;
 
+/// Least time in which a bad version can be given up, in milliseconds: nodes report several times a
+/// second, and a grant must outlast two reports.
+const MIN_ROLLBACK_MS: f64 = 2000.0;
+
 /// Invalid settings.
 #[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
 #[display("{place}: {reason}")]
@@ -157,6 +161,9 @@
     /// Optional features of scheduling.
     #[serde(default)]
     pub scheduling: Scheduling,
+    /// What roll-outs may cost; without it there are none.
+    #[serde(default)]
+    pub rollouts: Option<RolloutLimits>,
 }
 
 fn whole_core() -> f64 {
@@ -203,8 +210,10 @@
         ];
         let not_positive = positive.into_iter().find(|(_, value)| *value <= 0.0);
         let other_ip = self.listen.reachable_peers().ip() != self.listen.peers.ip();
+        let bad_rollouts = self.rollouts.as_ref().and_then(invalid_rollouts);
         let (place, reason) = match not_positive {
             Some((place, _)) => (place, "must be above zero"),
+            None if bad_rollouts.is_some() => bad_rollouts.unwrap_or_default(),
             // Nodes are named after their IP addresses.
             None if other_ip => (
                 "listen.advertised_peers",
@@ -233,6 +242,23 @@
     }
 }
 
+// The first invalid field of the limits of roll-outs, and why.
+fn invalid_rollouts(limits: &RolloutLimits) -> Option<(&'static str, &'static str)> {
+    match limits {
+        l if !(l.canary_share > 0.0 && l.canary_share < 1.0) => {
+            Some(("rollouts.canary_share", "must be between zero and one"))
+        }
+        l if !(0.0..=1e6).contains(&l.canary_slack) => Some((
+            "rollouts.canary_slack",
+            "must be between zero and a million",
+        )),
+        l if !(MIN_ROLLBACK_MS..=1e6).contains(&l.rollback_ms) => {
+            Some(("rollouts.rollback_ms", "must be between 2000 and a million"))
+        }
+        _ => None,
+    }
+}
+
 /// The instance name of the node at an address.
 ///
 /// Derived from the address because seeds are configured as addresses only.
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -1,11 +1,12 @@
 //! Acquires slots from the scheduler of a request's pool, remote or local.
 
+use compact_str::CompactString;
 use futures_util::future::select_all;
 use indexmap::IndexMap;
 use log::{debug, info, warn};
 use rwd_peer::{Directory, Error, Exchange, Links, rank_by_cpu};
 use rwd_placement::{
-    KnownLimits, LimitNotice, LimitReport, Offer, Recipient, SlotOutcome, Timestamp,
+    KnownLimits, LimitNotice, LimitReport, Offer, Recipient, SlotOutcome, Timestamp, VersionRule,
 };
 use rwd_types::{InstanceName, PoolName, TargetName};
 use rwd_wire::{MemberUpdate, Message, Placed};
@@ -17,6 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::local_scheduler::{LocalScheduler, Ticket};
+use crate::rollout::InUse;
 use crate::shards::{Shard, Shards};
 use crate::{StoreReplica, clock};
 
@@ -64,10 +66,26 @@
     shard: PoolName,
     // What the response says about the target's request limit, until that is reported.
     limit: LimitReport,
+    /// Which versions the request may go to.
+    pub rule: VersionRule,
+    /// Set while a request is in progress at the target.
+    pub in_use: Option<InUse>,
     handle: SlotHandle,
 }
 
 impl Slot {
+    /// The slot with the version rule of the offer that it was granted to.
+    pub fn with_rule(self, rule: VersionRule) -> Self {
+        Self { rule, ..self }
+    }
+
+    /// Records an answer of the target and the time to its first byte, in milliseconds.
+    pub fn record_answer(&self, route: &CompactString, failed: bool, ms: f64) {
+        if let Some(in_use) = &self.in_use {
+            in_use.record_answer(route, failed, ms);
+        }
+    }
+
     /// Reports to the scheduler that the first byte of the response has been received.
     pub async fn record_first_byte(&mut self, first_ms: f64) {
         // Reported once: by the end of the stream, another response may have changed it.
@@ -405,6 +423,8 @@
             scheduler,
             shard: shard.clone(),
             limit: LimitReport::Unknown,
+            rule: VersionRule::Any,
+            in_use: None,
             handle,
         }
     }
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -367,6 +367,7 @@
         let replied_at = requested_at + update.held_ms;
         let as_of = update.catalog_age_ms.map(|age_ms| replied_at + -age_ms);
         self.observe(from, &update, as_of);
+        self.replica.merge_orders(update.orders, replied_at);
         let records = update.targets.into_iter();
         let records = records
             .map(|(name, entry)| Record::Target(name, entry))
--- a/crates/gateway/tests/parsing.rs
+++ b/crates/gateway/tests/parsing.rs
@@ -127,6 +127,7 @@
             warm_up_ms: 0.0,
             born: 1,
             sequence: 1,
+            version: Default::default(),
         };
         (format!("t{n}").parse().unwrap(), entry)
     });
--- a/crates/gateway/tests/views.rs
+++ b/crates/gateway/tests/views.rs
@@ -22,6 +22,7 @@
         warm_up_ms: 0.0,
         born: 1,
         sequence: 1,
+        version: Default::default(),
     }
 }
 
--- a/crates/lab/tests/gateway/helper.rs
+++ b/crates/lab/tests/gateway/helper.rs
@@ -113,6 +113,7 @@
             secret: Secret::new("a secret of the tests"),
             bounds: Bounds::default(),
             scheduling: Default::default(),
+            rollouts: None,
         }
     }
 
--- a/crates/lab/tests/limit_storms.rs
+++ b/crates/lab/tests/limit_storms.rs
@@ -185,6 +185,7 @@
         },
         leaving: false,
         warm_up_ms: 0.0,
+        version: Default::default(),
     }
 }
 
@@ -514,6 +515,7 @@
             beyond_quota: false,
             returned: false,
             resumes: call.tries > 0,
+            version: Default::default(),
         };
         let now = at(self.now);
         let incarnation = self.nodes[to].incarnation;
--- a/crates/lab/tests/withheld_storms.rs
+++ b/crates/lab/tests/withheld_storms.rs
@@ -136,6 +136,7 @@
                 },
                 leaving: false,
                 warm_up_ms: 0.0,
+                version: Default::default(),
             },
             holds_off: n < holding,
             leaves_until: None,
@@ -233,6 +234,7 @@
             beyond_quota: false,
             returned: false,
             resumes: false,
+            version: Default::default(),
         };
         let s = &mut self.schedulers[n];
         let id = s.scheduler.offer(offer, Timestamp(self.now));
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -60,6 +60,10 @@
     pub limits_changed: Counter<u64>,
     /// Responses that ended or interrupted the use of their targets, by reason.
     pub targets_withheld: Counter<u64>,
+    /// Requests sent during roll-outs, by version (old or new).
+    pub rollout_sends: Counter<u64>,
+    /// Roll-outs that this node has ended, by state.
+    pub rollouts_ended: Counter<u64>,
     /// Failed reads of the store, by feed.
     pub store_reads_failed: Counter<u64>,
 }
@@ -94,6 +98,8 @@
             second_sends: counter(&meter, "second_sends"),
             limits_changed: counter(&meter, "limits_changed"),
             targets_withheld: counter(&meter, "targets_withheld"),
+            rollout_sends: counter(&meter, "rollout_sends"),
+            rollouts_ended: counter(&meter, "rollouts_ended"),
             store_reads_failed: counter(&meter, "store_reads_failed"),
             _provider: provider,
         })
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,7 +4,8 @@
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
 //! schedules. `queue` has the service order, `returns` says when refused callers retry, `target`
 //! has the cost model, `cache` estimates the content of prefix caches, `crash_ledger` finds prompts
-//! that crash targets, and `request_limit` keeps to the limits that targets name.
+//! that crash targets, `request_limit` keeps to the limits that targets name, and `rollout` moves a
+//! pool to another version of its targets.
 
 mod cache;
 mod crash_ledger;
@@ -13,6 +14,7 @@
 mod registry;
 mod request_limit;
 mod returns;
+mod rollout;
 mod scheduler;
 mod target;
 
@@ -21,5 +23,10 @@
 pub use crate::offer::{Offer, OfferId, PromptPart, Rank, SlotOutcome, Timestamp};
 pub use crate::registry::TargetEntry;
 pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
+pub use crate::rollout::{
+    Decider, HISTOGRAM_STEPS, Judge, MAX_GRANT_MS, NodeRollout, RolloutGrant, RolloutLimits,
+    RolloutOrder, RolloutReport, RouteReport, Stage, StatusRecord, Tally, Verdict, Version,
+    VersionError, VersionRule,
+};
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
 pub use crate::target::{Capacity, TargetInfo};
--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use std::ops::{Add, Sub};
 
+use crate::VersionRule;
+
 /// A point in time, in milliseconds from an epoch of the caller's choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
 pub struct Timestamp(pub f64);
@@ -85,6 +87,8 @@
     pub returned: bool,
     /// Whether the request resumes a stream that has produced part of its response.
     pub resumes: bool,
+    /// Which versions of targets it may go to.
+    pub version: VersionRule,
 }
 
 /// How the use of a granted slot ended.
--- a/crates/placement/src/registry.rs
+++ b/crates/placement/src/registry.rs
@@ -4,6 +4,8 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+use crate::Version;
+
 /// A target's entry in the registry.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct TargetEntry {
@@ -23,6 +25,8 @@
     pub born: u64,
     /// Sequence number of the entry within one process.
     pub sequence: u64,
+    /// Version of its software; empty if it reports none.
+    pub version: Version,
 }
 
 impl TargetEntry {
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use crate::request_limit::RequestLimit;
-use crate::{Offer, OfferId, PromptCache, SlotOutcome, Timestamp};
+use crate::{Offer, OfferId, PromptCache, SlotOutcome, Timestamp, Version};
 
 /// Smoothing factor of the moving averages for a sample below the estimate.
 const EWMA_ALPHA: f64 = 0.3;
@@ -110,6 +110,8 @@
     pub leaving: bool,
     /// Remaining warm-up time after its start, in milliseconds.
     pub warm_up_ms: f64,
+    /// Version of its software; empty if it reports none.
+    pub version: Version,
 }
 
 #[derive(Clone, Debug)]
@@ -221,6 +223,7 @@
             && self.in_flight.len() < slots
             && self.limit.allows(now)
             && fits
+            && offer.version.allows(&self.info.version)
             && !offer.exclude.contains(&self.info.name)
     }
 
--- a/crates/placement/tests/placement/helper.rs
+++ b/crates/placement/tests/placement/helper.rs
@@ -23,6 +23,7 @@
         },
         leaving: false,
         warm_up_ms: 0.0,
+        version: Default::default(),
     }
 }
 
@@ -53,6 +54,7 @@
         beyond_quota: false,
         returned: false,
         resumes: false,
+        version: Default::default(),
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,6 @@
 pub use crate::frame::{Error, FrameBuffer, MAX_FRAME_BYTES, Result, decode, encode};
 pub use crate::message::{
     Adopted, Digest, ForwardHead, Gossip, Grant, GrantId, GrantOutcome, GrantReport, Hello,
-    Liveness, MemberUpdate, Message, NONCE_BYTES, Offer, Placed, QuotaTotals, ResponseHead,
-    ShardId, StoreCursor, StoreUpdate, VERSION, Verdict,
+    KnownOrder, Liveness, MemberUpdate, Message, NONCE_BYTES, Offer, Placed, QuotaTotals,
+    ResponseHead, ShardId, StoreCursor, StoreUpdate, VERSION, Verdict,
 };
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -245,6 +245,23 @@
     pub change: u64,
     /// Milliseconds for which the sender held the request until it had an update.
     pub held_ms: f64,
+    /// The newest order of a roll-out for each pool.
+    pub orders: Vec<KnownOrder>,
+}
+
+/// An operator's order of a roll-out, as nodes relay it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct KnownOrder {
+    /// The pool.
+    pub pool: PoolName,
+    /// The order.
+    pub order: rwd_placement::RolloutOrder,
+    /// Milliseconds since a node first saw it.
+    pub age_ms: f64,
+    /// Whether the operator has withdrawn it.
+    pub withdrawn: bool,
+    /// How it ended, if it has.
+    pub end: Option<rwd_placement::Stage>,
 }
 
 /// A slot that a scheduler granted to an offer.
@@ -438,4 +455,13 @@
         /// What is new, or all that the sender knows if that differs from what the receiver knows.
         news: Box<rwd_placement::CrashNews>,
     },
+    /// Reports what a home node has seen of a roll-out; the reply is [`Message::RolloutGrant`].
+    Rollout {
+        /// The pool.
+        pool: PoolName,
+        /// The report.
+        report: Box<rwd_placement::RolloutReport>,
+    },
+    /// What a home node may do in a roll-out.
+    RolloutGrant(rwd_placement::RolloutGrant),
 }
