Hold the tolerated share of a bad version also after the move

Ruled out: an earlier move for orders that are too short for a trial under load, which ends them in time and exceeds the share.

--- a/crates/placement/src/rollout/decider.rs
+++ b/crates/placement/src/rollout/decider.rs
@@ -15,12 +15,13 @@
 const LATE_CANARY_USE: f64 = 0.6;
 /// Fraction of the tolerated slack that the canary uses.
 const SLACK_USE: f64 = 0.6;
-/// Time to move all traffic beside the old version's longest request, in milliseconds: two reports, and
-/// two writes to the store.
-const SETTLE_MS: f64 = 2000.0;
-/// Largest part of the time of an order that may be used to wait for the old version's requests, if its
-/// end is met that way.
-const MAX_MOVE_FRACTION: f64 = 0.3;
+/// Fraction of the tolerated slack that the canary and all traffic after the move use together.
+const MOVE_SLACK_USE: f64 = 0.8;
+/// Time with all traffic at the new version, beyond the longest request, before the old one is given up,
+/// in milliseconds: it may be bad under load only.
+const FULL_LOAD_MS: f64 = 2000.0;
+/// Window over which the rate of requests is measured, in milliseconds.
+const RATE_WINDOW_MS: f64 = 1000.0;
 /// Sends to the new version that a node may have ready.
 const MAX_READY: u64 = 2;
 /// Least number of sends that are reserved at once; each reservation is a write to the store.
@@ -36,8 +37,6 @@
 /// How long a report that nothing is in progress at the old version counts, beyond the time to the next
 /// one, in milliseconds.
 const QUIET_SLACK_MS: f64 = 400.0;
-/// Answers of the new version after the move without which the old one is kept.
-const MIN_FULL_ANSWERS: u32 = 20;
 /// Maximum number of nodes whose reports are kept.
 const MAX_NODES: usize = 1024;
 
@@ -48,6 +47,8 @@
     sent_new: u64,
     allowed: u64,
     stage: Stage,
+    // What it was told last.
+    granted: Stage,
     old_in_progress: u32,
     reported: Timestamp,
     routes: IndexMap<compact_str::CompactString, (Tally, Tally)>,
@@ -61,12 +62,16 @@
     started: Timestamp,
     stage: Stage,
     full_since: Timestamp,
-    answers_at_full: u32,
+    // The judge of the answers since then.
+    full_judge: Judge,
     judge: Judge,
     verdict: Option<Verdict>,
     nodes: IndexMap<InstanceName, Node>,
     // Requests of all nodes and their earlier processes.
     requests: u64,
+    // Their rate per millisecond, and the requests and the time from which it is measured next.
+    rate: f64,
+    rate_from: (u64, Timestamp),
     longest_old_ms: f64,
     // Stage that the store holds for this order, and when that was last known.
     stored: Option<Stage>,
@@ -87,11 +92,13 @@
             started,
             stage: Stage::Canary,
             full_since: started,
-            answers_at_full: 0,
+            full_judge: Judge::default(),
             judge: Judge::default(),
             verdict: None,
             nodes: IndexMap::new(),
             requests: 0,
+            rate: 0.0,
+            rate_from: (0, started),
             longest_old_ms: 0.0,
             stored: None,
             confirmed: None,
@@ -171,13 +178,18 @@
         self.judge.add_bad_targets(&report.bad_targets);
         for r in report.routes.iter().take(super::judge::MAX_ROUTES) {
             let (old, new) = node.routes.entry(r.route.clone()).or_default();
-            self.judge.add(&RouteReport {
+            let news = RouteReport {
                 route: r.route.clone(),
                 old: r.old.since(old),
                 new: r.new.since(new),
-            });
+            };
+            self.judge.add(&news);
+            if self.stage == Stage::Full {
+                self.full_judge.add(&news);
+            }
             (*old, *new) = (r.old, r.new);
         }
+        self.measure_rate(now);
         if !self.stage.is_final()
             && let Some(verdict) = self.judge.verdict()
         {
@@ -186,26 +198,35 @@
         }
     }
 
+    fn measure_rate(&mut self, now: Timestamp) {
+        let (requests, since) = self.rate_from;
+        let ms = now - since;
+        if ms >= RATE_WINDOW_MS {
+            self.rate = (self.requests - requests) as f64 / ms;
+            self.rate_from = (self.requests, now);
+        }
+    }
+
     /// What a node may do until its next report; it has just sent one.
     pub fn grant(&mut self, name: &InstanceName, nodes: usize, now: Timestamp) -> RolloutGrant {
-        let is_confirmed = self.is_confirmed(now);
-        let budget = self.ready;
+        let stage = match self.stage {
+            Stage::Full if !self.is_confirmed(now) || !self.may_go_on(now) => Stage::Canary,
+            stage => stage,
+        };
+        let budget = match self.stage {
+            Stage::Canary if self.is_confirmed(now) => self.ready,
+            _ => 0,
+        };
         let mut allowed = 0;
         if let Some(node) = self.nodes.get_mut(name) {
             let unused = node.allowed.saturating_sub(node.sent_new);
-            let granted = match self.stage {
-                Stage::Canary if is_confirmed => MAX_READY.saturating_sub(unused).min(budget),
-                _ => 0,
-            };
+            let granted = MAX_READY.saturating_sub(unused).min(budget);
             self.ready -= granted;
             // A node that had more from an earlier decider has used that, or uses it now.
             node.allowed = node.allowed.max(node.sent_new) + granted;
+            node.granted = stage;
             allowed = node.allowed;
         }
-        let stage = match self.stage {
-            Stage::Full if !is_confirmed => Stage::Canary,
-            stage => stage,
-        };
         RolloutGrant {
             stage,
             allowed,
@@ -264,17 +285,26 @@
         share + self.limits.canary_slack * SLACK_USE
     }
 
-    /// When all traffic moves, if the new version is judged good by then.
+    /// When all traffic moves, if the new version is judged good by then: so late that it gets no more
+    /// than the tolerated share by the end of the order's time even if it turns bad at once.
     pub fn move_at(&self) -> Timestamp {
-        let over_ms = self.order.over_ms();
-        // Even if every request from then on is counted, the share holds.
-        let safe_ms = self.limits.canary_share * (1.0 - CANARY_USE) * over_ms;
-        let needed_ms = self.longest_old_ms + SETTLE_MS;
-        let ms = match needed_ms <= MAX_MOVE_FRACTION * over_ms {
-            true => needed_ms.max(safe_ms),
-            false => safe_ms,
+        let share = self.limits.canary_share;
+        let left = share * self.requests as f64 + self.limits.canary_slack * MOVE_SLACK_USE
+            - self.reserved as f64;
+        let ms = match self.rate > 0.0 {
+            true => left.max(0.0) / (self.rate * (1.0 - share)),
+            false => 0.0,
         };
-        self.started + (over_ms - ms)
+        let over_ms = self.order.over_ms();
+        self.started + (over_ms - ms.min(over_ms * share))
+    }
+
+    // Whether the new version may get all traffic for one more report.
+    fn may_go_on(&self, now: Timestamp) -> bool {
+        let sent: u64 = self.nodes.values().map(|n| n.sent_new).sum();
+        let bound = self.limits.canary_share * self.requests as f64 + self.limits.canary_slack;
+        let next = self.rate * report_ms(self.nodes.len());
+        now - self.started >= self.order.over_ms() || sent as f64 + next <= bound
     }
 
     /// What must be written to the store next, if anything; `members` are the nodes that may have requests
@@ -329,7 +359,7 @@
             (Stage::Canary, Stage::Full) => {
                 self.stage = Stage::Full;
                 self.full_since = now;
-                self.answers_at_full = self.judge.counts().0;
+                self.full_judge = self.judge.restarted();
             }
             (_, stage) => self.end(stage),
         }
@@ -337,17 +367,19 @@
 
     // Whether no node has a request in progress at the old version, nor will have.
     fn is_quiet(&self, members: &[InstanceName], now: Timestamp) -> bool {
-        let (answers, _) = self.judge.counts();
         let recent_ms = report_ms(members.len()) + QUIET_SLACK_MS;
         let quiet = |name| {
             self.nodes.get(name).is_some_and(|n: &Node| {
                 n.stage == Stage::Full
+                    && n.granted == Stage::Full
                     && n.old_in_progress == 0
                     && n.reported > self.full_since
                     && now - n.reported < recent_ms
             })
         };
-        answers >= self.answers_at_full + MIN_FULL_ANSWERS
+        let full_ms = now - self.full_since;
+        full_ms >= self.longest_old_ms + FULL_LOAD_MS
+            && self.full_judge.is_good()
             && self.is_confirmed(now)
             && !self.judge.is_suspicious()
             && members.iter().all(quiet)
@@ -363,6 +395,7 @@
             // Granted by an earlier decider, within its reservation.
             allowed: report.sent_new,
             stage: report.stage,
+            granted: Stage::Canary,
             old_in_progress: 0,
             reported: Timestamp::default(),
             routes: IndexMap::new(),
--- a/crates/placement/src/rollout/judge.rs
+++ b/crates/placement/src/rollout/judge.rs
@@ -134,6 +134,27 @@
         self.all.add(news.new.answers - new_bad, new_bad);
     }
 
+    /// A judge that knows the same of the old version, and nothing of the new one.
+    pub fn restarted(&self) -> Self {
+        let fresh = |t: &Test| Test {
+            old: t.old,
+            old_bad: t.old_bad,
+            ..Test::default()
+        };
+        let routes = self.routes.iter().map(|(name, r)| {
+            let route = Route {
+                old: r.old,
+                test: fresh(&r.test),
+            };
+            (name.clone(), route)
+        });
+        Self {
+            routes: routes.collect(),
+            all: fresh(&self.all),
+            bad_targets: IndexSet::new(),
+        }
+    }
+
     /// Adds targets of the new version that gave bad answers.
     pub fn add_bad_targets(&mut self, targets: &[u64]) {
         for target in targets {
