Write how a roll-out ended again if the store does not hold it

Found by real nodes in front of a store that came back from an older copy: the status said running for good, as a decider whose end was written once took no further look, and nodes that know the end send no reports that would bring up another decider. The node that is the decider now takes up ended orders that it has no state of, and all after a change of the era. Seven tests with real nodes pass; the fakes learned conditional appends and targets that fail in part.

--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -379,8 +379,11 @@
         let mut ticks = timer.every(WRITE_PERIOD);
         let mut position: Option<Position> = None;
         let mut read_at = Timestamp::default();
+        let mut era = None;
         loop {
             ticks.tick().await;
+            let before = std::mem::replace(&mut era, self.replica.store_era());
+            self.take_up_ended(before < era);
             let pools = self.open_deciders();
             if pools.is_empty() {
                 position = None;
@@ -399,6 +402,30 @@
         }
     }
 
+    // Makes sure that the store holds how orders ended: an earlier decider may not have written it, and a
+    // restored store may have forgotten it.
+    fn take_up_ended(&self, is_restored: bool) {
+        let Some(limits) = self.limits else {
+            return;
+        };
+        let now = clock::now();
+        for known in self.replica.orders() {
+            let Some(stage) = known.end else {
+                continue;
+            };
+            if self.decider(&known.pool).as_ref() != Some(&self.instance) {
+                continue;
+            }
+            let mut inner = self.lock();
+            let is_new = !inner.deciders.contains_key(&known.pool);
+            let new = || Decider::new(known.order, limits, now + -known.age_ms);
+            let decider = inner.deciders.entry(known.pool).or_insert_with(new);
+            if is_new || is_restored {
+                decider.reopen(stage);
+            }
+        }
+    }
+
     // The pools that this node decides on now and whose end the store may not hold yet.
     fn open_deciders(&self) -> Vec<PoolName> {
         let mut inner = self.lock();
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -76,8 +76,19 @@
 
 /// A target's record in the registry.
 pub fn server_record(service: &str, addr: std::net::SocketAddr, state: &str, seq: u64) -> String {
+    versioned_record(service, addr, state, seq, "v1")
+}
+
+/// As [`server_record`], with the version of the target's software.
+pub fn versioned_record(
+    service: &str,
+    addr: std::net::SocketAddr,
+    state: &str,
+    seq: u64,
+    version: &str,
+) -> String {
     serde_json::json!({
-        "service": service, "addr": addr, "zone": "z1", "version": "v1", "slots": 4,
+        "service": service, "addr": addr, "zone": "z1", "version": version, "slots": 4,
         "state": state, "cold_left_ms": 0, "seq": seq, "born": 1,
     })
     .to_string()
--- a/crates/lab/src/site/store.rs
+++ b/crates/lab/src/site/store.rs
@@ -168,6 +168,13 @@
         lock(&self.shared.topics).get(topic).map_or(0, Topic::end)
     }
 
+    /// The newest value of a key.
+    pub fn value(&self, topic: &str, key: &str) -> Option<String> {
+        let newest = lock(&self.shared.newest);
+        let (value, _) = newest.get(&(topic.to_owned(), key.to_owned()))?;
+        Some(String::from_utf8_lossy(value).into_owned())
+    }
+
     /// The keys of a topic that have a value.
     pub fn keys(&self, topic: &str) -> Vec<String> {
         let newest = lock(&self.shared.newest);
@@ -252,7 +259,10 @@
             read(&shared, &topic, from, Duration::from_millis(wait)).await
         }
         (Method::POST, "/api/log-append") => match body.collect().await {
-            Ok(body) => append(&shared, &topic, body.to_bytes()),
+            Ok(body) => {
+                let at = param("at").and_then(|v| v.parse().ok());
+                append(&shared, &topic, at, body.to_bytes())
+            }
             Err(_) => status(StatusCode::BAD_REQUEST),
         },
         _ => status(StatusCode::NOT_FOUND),
@@ -316,7 +326,12 @@
     Response::new(Full::new(buf.freeze()))
 }
 
-fn append(shared: &Shared, topic: &str, mut body: Bytes) -> StoreResponse {
+fn append(shared: &Shared, topic: &str, at: Option<u64>, mut body: Bytes) -> StoreResponse {
+    // Calls run on one thread, and nothing waits in between.
+    let end = lock(&shared.topics).get(topic).map_or(0, Topic::end);
+    if at.is_some_and(|at| at != end) {
+        return status(StatusCode::PRECONDITION_FAILED);
+    }
     while body.len() > 4 {
         let len = body.get_u32() as usize;
         let mut record = body.split_to(len.min(body.len()));
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -145,6 +145,8 @@
     instance: Option<String>,
     // Where refusals are written once more.
     repeats: Option<Late>,
+    // One request in so many fails; none if that is zero.
+    fails_every: usize,
     // The refusal that the next new connection gets.
     late: Vec<u8>,
     // How long it works on a request that it runs.
@@ -245,6 +247,11 @@
         lock(&self.shared).instance = Some(name.to_lowercase());
     }
 
+    /// Fails every `n`-th request from now on; none if `n` is 0.
+    pub fn fail_every(&self, n: usize) {
+        lock(&self.shared).fails_every = n;
+    }
+
     /// Works for so long on each request that it runs from now on.
     pub fn set_work_time(&self, time: Duration) {
         lock(&self.shared).work_time = time;
@@ -369,6 +376,11 @@
                 Some(name) if expected.is_some_and(|e| e != name) => Behaviour::Misdirected,
                 _ => behaviour,
             };
+            let count = shared.arrivals.len();
+            let behaviour = match shared.fails_every {
+                n if n > 0 && count % n == 0 => Behaviour::Fail,
+                _ => behaviour,
+            };
             arrival.started = !matches!(
                 behaviour,
                 Behaviour::NotRun
--- a/crates/placement/src/rollout/decider.rs
+++ b/crates/placement/src/rollout/decider.rs
@@ -269,6 +269,13 @@
         }
     }
 
+    /// Takes up a roll-out that has ended; the store may have forgotten how, or not have been told.
+    pub fn reopen(&mut self, stage: Stage) {
+        self.end(stage);
+        self.stored = None;
+        self.confirmed = None;
+    }
+
     /// Ends the roll-out because its order was withdrawn.
     pub fn withdraw(&mut self) {
         self.end(Stage::Reverted);
