--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -38,6 +38,7 @@
                     age_ms: 0.0,
                     withdrawn: false,
                     end: None,
+                    past: Vec::new(),
                 },
                 now,
             ),
@@ -54,7 +55,7 @@
     pub fn merge(&mut self, news: KnownOrder, as_of: Timestamp) -> bool {
         let first_seen = as_of + -news.age_ms.max(0.0);
         let Some(known) = self.entries.get_mut(&news.pool) else {
-            return self.insert(news, first_seen, Vec::new());
+            return self.insert(news, first_seen);
         };
         if known.order.is_same(&news.order) {
             if news.order.era > known.order.era {
@@ -68,11 +69,13 @@
             return changed;
         }
         let position = |o: &RolloutOrder| (o.era, o.offset);
-        if position(&news.order) < position(&known.order) {
-            return false;
-        }
-        if known.past.iter().any(|past| past.is_same(&news.order)) {
+        let replaces_known = news.past.iter().any(|past| past.is_same(&known.order));
+        let is_earlier = position(&news.order) < position(&known.order);
+        let was_replaced = known.past.iter().any(|past| past.is_same(&news.order));
+        if was_replaced && !is_earlier {
             info!(event = "rollout_order", pool:% = news.pool, to:% = news.order.to, outcome = "brought_back"; "ignoring an order that was replaced before: the store has come back from an older copy");
+        }
+        if was_replaced || (is_earlier && !replaces_known) {
             return false;
         }
         let mut past = std::mem::take(&mut known.past);
@@ -80,20 +83,22 @@
         if past.len() > MAX_PAST {
             past.remove(0);
         }
-        self.insert(news, first_seen, past)
+        self.insert(KnownOrder { past, ..news }, first_seen)
     }
 
-    fn insert(&mut self, news: KnownOrder, first_seen: Timestamp, past: Vec<RolloutOrder>) -> bool {
+    fn insert(&mut self, news: KnownOrder, first_seen: Timestamp) -> bool {
         let KnownOrder {
             pool,
             order,
             withdrawn,
             end,
+            mut past,
             ..
         } = news;
         if self.entries.len() >= MAX_ORDERS && !self.entries.contains_key(&pool) {
             return false;
         }
+        past.truncate(MAX_PAST);
         info!(event = "rollout_order", pool:%, to:% = order.to, over_s = order.over_s, offset = order.offset, outcome = "known"; "learned of an order of a roll-out");
         let entry = Entry {
             order,
@@ -125,6 +130,7 @@
             age_ms: now - known.first_seen,
             withdrawn: known.withdrawn,
             end: known.end,
+            past: known.past.clone(),
         });
         entries.collect()
     }
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -62,6 +62,9 @@
     inner: Mutex<Inner>,
 }
 
+/// The roll-out has gone on while a request waited for its slot, which it must not use.
+pub(crate) struct Superseded;
+
 /// A request in progress at a target, until dropped.
 pub(crate) struct InUse {
     rollouts: Arc<Rollouts>,
@@ -146,25 +149,29 @@
         }
     }
 
-    /// Records that a request is about to be sent to a target; `None` if it must not be, because the
-    /// roll-out has gone on while it waited for its slot.
+    /// Records that a request is about to be sent to a target; without roll-outs there is nothing to
+    /// record.
+    ///
+    /// # Errors
+    ///
+    /// The request must not be sent there any more.
     pub fn enter(
         self: &Arc<Self>,
         pool: &PoolName,
         target: &TargetName,
         rule: &VersionRule,
         is_first: bool,
-    ) -> Option<InUse> {
-        let (version, warm_up_ms) = match self.limits {
-            Some(_) => self.replica.target_version(target).unwrap_or_default(),
-            None => Default::default(),
-        };
+    ) -> Result<Option<InUse>, Superseded> {
+        if self.limits.is_none() {
+            return Ok(None);
+        }
+        let (version, warm_up_ms) = self.replica.target_version(target).unwrap_or_default();
         let now = clock::now();
         let mut inner = self.lock();
         if let Some(Local { node, .. }) = inner.local.get_mut(pool) {
             let is_new = node.order().to == version;
             if !node.may_send(rule, is_new, now) {
-                return None;
+                return Err(Superseded);
             }
             if is_first {
                 node.record_request();
@@ -179,14 +186,14 @@
             .in_use
             .entry((pool.clone(), version.clone()))
             .or_default() += 1;
-        Some(InUse {
+        Ok(Some(InUse {
             rollouts: self.clone(),
             pool: pool.clone(),
             version,
             target: target.clone(),
             warms_up: warm_up_ms > 0.0,
             since: now,
-        })
+        }))
     }
 
     fn decider(&self, pool: &PoolName) -> Option<InstanceName> {
@@ -247,6 +254,7 @@
             age_ms,
             withdrawn,
             end,
+            ..
         } = known;
         let Some(catalog) = self.replica.catalog() else {
             return;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -23,6 +23,7 @@
 use crate::proof::{Permit, Proof, Reason};
 use crate::refusal::Refusal;
 use crate::relay::{Relay, StartedStream};
+use crate::rollout::InUse;
 use crate::slots::Slot;
 use crate::stop::Admission;
 use crate::{Protocol, RetryPolicy, TargetRequestHead, Withheld, clock};
@@ -302,7 +303,7 @@
             .gateway
             .rollouts
             .enter(pool, &slot.target, &slot.rule, is_first);
-        let Some(in_use) = entered else {
+        let Ok(in_use) = entered else {
             info!(event = "rollout_held", request:% = self.admitted.head.id, target:% = slot.target, rule:? = slot.rule; "a roll-out has gone on while the request waited for its slot");
             let left_ms = ROLLOUT_HOLD_MS;
             return Ok((
@@ -310,8 +311,8 @@
                 Attempt::Withheld(Withheld::Held { left_ms }, permit),
             ));
         };
-        self.began_old = Some(!in_use.is_new());
-        dispatch.slot.in_use = Some(in_use);
+        self.began_old = Some(!in_use.as_ref().is_some_and(InUse::is_new));
+        dispatch.slot.in_use = in_use.map(Box::new);
         self.gateway
             .metrics
             .slot_wait_ms
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -69,7 +69,7 @@
     /// Which versions the request may go to.
     pub rule: VersionRule,
     /// Set while a request is in progress at the target.
-    pub in_use: Option<InUse>,
+    pub in_use: Option<Box<InUse>>,
     handle: SlotHandle,
 }
 
--- a/crates/gateway/tests/rollout_orders.rs
+++ b/crates/gateway/tests/rollout_orders.rs
@@ -1,7 +1,7 @@
 //! Orders of roll-outs in the replica: what is news, what a restored store brings back.
 
 use rwd_gateway::{GatewaySettings, StoreReplica};
-use rwd_placement::{RolloutOrder, Stage};
+use rwd_placement::{RolloutOrder, Stage, Timestamp};
 use rwd_types::{PoolName, StoreEra};
 
 fn pool() -> PoolName {
@@ -63,6 +63,24 @@
     assert_eq!(active(&replica), ("v4".into(), false, None));
 }
 
+/// A node that starts while a restored store lists an order that was replaced learns better from others.
+#[test]
+fn a_starting_node_learns_which_order_was_replaced() {
+    let (other, starting) = (
+        StoreReplica::with_rollouts(true),
+        StoreReplica::with_rollouts(true),
+    );
+    other.apply_order(&pool(), Some(order("v2", 1, 3)));
+    other.apply_order(&pool(), Some(order("v3", 1, 6)));
+    starting.apply_order(&pool(), Some(order("v2", 2, 3)));
+    let now = Timestamp::default();
+    other.merge_orders(starting.orders(), now);
+    starting.merge_orders(other.orders(), now);
+    for replica in [other, starting] {
+        assert_eq!(active(&replica), ("v3".into(), false, None));
+    }
+}
+
 /// Nodes without the setting keep no orders, whatever the store and other nodes say.
 #[test]
 fn without_the_setting_no_order_is_kept() {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -262,6 +262,8 @@
     pub withdrawn: bool,
     /// How it ended, if it has.
     pub end: Option<rwd_placement::Stage>,
+    /// Orders that it replaced.
+    pub past: Vec<rwd_placement::RolloutOrder>,
 }
 
 /// A slot that a scheduler granted to an offer.
