--- a/crates/gateway/tests/room/helper.rs
+++ b/crates/gateway/tests/room/helper.rs
@@ -55,6 +55,7 @@
         returned: false,
         resumes: false,
         reuse_ms: 500.0,
+        version: Default::default(),
         max_output: 0,
         last_resort: false,
     }
@@ -161,6 +162,7 @@
     (0..TARGETS).map(move |n| TargetInfo {
         name: format!("t{zone}-{n}").parse().unwrap(),
         born: 1,
+        version: Default::default(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: zone_name(zone),
         capacity: Capacity {
--- a/crates/lab/tests/gateway/helper.rs
+++ b/crates/lab/tests/gateway/helper.rs
@@ -114,6 +114,7 @@
             bounds: Bounds::default(),
             scheduling: Default::default(),
             platform_terms: Vec::new(),
+            rollouts: None,
         }
     }
 
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod requests;
 mod restore_storms;
 mod restored_store;
+mod rollouts;
 mod spilling;
 mod store;
 mod stray_bytes;
--- a/crates/lab/tests/limit_storms.rs
+++ b/crates/lab/tests/limit_storms.rs
@@ -185,6 +185,7 @@
         },
         leaving: false,
         warm_up_ms: 0.0,
+        version: Default::default(),
     }
 }
 
@@ -517,6 +518,7 @@
             resumes: call.tries > 0,
             reuse_ms: 500.0,
             last_resort: false,
+            version: Default::default(),
         };
         let now = at(self.now);
         let incarnation = self.nodes[to].incarnation;
--- a/crates/lab/tests/withheld_storms.rs
+++ b/crates/lab/tests/withheld_storms.rs
@@ -136,6 +136,7 @@
                 },
                 leaving: false,
                 warm_up_ms: 0.0,
+                version: Default::default(),
             },
             holds_off: n < holding,
             leaves_until: None,
@@ -236,6 +237,7 @@
             resumes: false,
             reuse_ms: 500.0,
             last_resort: false,
+            version: Default::default(),
         };
         let s = &mut self.schedulers[n];
         let id = s.scheduler.offer(offer, Timestamp(self.now));
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,12 +2,13 @@
 //!
 //! The crate does no I/O and reads no clock: callers pass the time and carry out
 //! the decisions. One [`Scheduler`] tracks the load of all targets that a node
-//! schedules. `queue` has the service order, `shares` the shares of workspaces in it, `precedence` corrects it for route priorities that
-//! fall behind lower ones. `forecast` says which requests are refused early, `returns` when refused callers retry, and `room` how much room a
-//! pool has. `target` has the cost model, `connections` its part for connections, and `cache`
-//! estimates the content of prefix caches. `request_limit` keeps to the limits that targets name,
-//! `memory` to their memory, and `crash_ledger` finds prompts that crash them. `handover` has what
-//! a scheduler learns when it takes over.
+//! schedules. `queue` has the service order, `shares` the shares of workspaces in it, and
+//! `precedence` corrects it for route priorities that fall behind lower ones. `forecast` says which
+//! requests are refused early, `returns` when refused callers retry, and `room` how much room a pool
+//! has. `target` has the cost model, `connections` its part for connections, and `cache` estimates
+//! the content of prefix caches. `request_limit` keeps to the limits that targets name, `memory` to
+//! their memory, and `crash_ledger` finds prompts that crash them. `handover` has what a scheduler
+//! learns when it takes over, and `rollout` moves a pool to another version of its targets.
 
 mod cache;
 mod connections;
@@ -22,6 +23,7 @@
 mod registry;
 mod request_limit;
 mod returns;
+mod rollout;
 mod room;
 mod scheduler;
 mod shares;
@@ -36,6 +38,11 @@
 pub use crate::offer::{Offer, OfferId, PromptPart, Rank, SlotOutcome, Timestamp};
 pub use crate::registry::TargetEntry;
 pub use crate::request_limit::{KnownLimits, LimitNotice, LimitReport, Recipient};
+pub use crate::rollout::{
+    Decider, HISTOGRAM_STEPS, Judge, MAX_GRANT_MS, NodeRollout, RolloutGrant, RolloutLimits,
+    RolloutOrder, RolloutReport, RouteReport, Stage, StatusRecord, Tally, Verdict, Version,
+    VersionError, VersionRule,
+};
 pub use crate::room::{MAX_FREE_SLOTS, MAX_WAIT_MS, Room};
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
 pub use crate::shares::{ShareNews, ShareOwner, ShareUse};
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -9,7 +9,7 @@
 use crate::handover::{HINT_AGE_MS, HeldSlot, MAX_ADOPTED, Speeds, TargetEstimate, TargetReport};
 use crate::memory::{TargetMemory, worst_case};
 use crate::request_limit::RequestLimit;
-use crate::{Offer, OfferId, PromptCache, SlotOutcome, Timestamp};
+use crate::{Offer, OfferId, PromptCache, SlotOutcome, Timestamp, Version};
 
 /// Smoothing factor of the moving averages for a sample below the estimate.
 const EWMA_ALPHA: f64 = 0.3;
@@ -118,6 +118,8 @@
     pub leaving: bool,
     /// Remaining warm-up time after its start, in milliseconds.
     pub warm_up_ms: f64,
+    /// Version of its software; empty if it reports none.
+    pub version: Version,
 }
 
 #[derive(Clone, Debug)]
@@ -262,6 +264,7 @@
             && self.is_within_share()
             && self.limit.allows(now)
             && fits
+            && offer.version.allows(&self.info.version)
             && !offer.exclude.contains(&self.info.name)
     }
 
--- a/crates/placement/tests/connections.rs
+++ b/crates/placement/tests/connections.rs
@@ -45,6 +45,7 @@
     let target = |n| TargetInfo {
         name: format!("t{n}").parse().unwrap(),
         born: 1,
+        version: Default::default(),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         zone: "z1".parse().unwrap(),
         capacity: Capacity {
@@ -75,6 +76,7 @@
         returned: false,
         resumes: false,
         reuse_ms: REUSE_MS,
+        version: Default::default(),
         max_output: 0,
         last_resort: false,
     }
--- a/crates/placement/tests/handover_storms.rs
+++ b/crates/placement/tests/handover_storms.rs
@@ -107,6 +107,7 @@
     let info = |n| TargetInfo {
         name: target(n),
         born: 1,
+        version: Default::default(),
         address: SocketAddr::from(([127, 0, 0, 1], n as u16)),
         zone: "z1".parse().unwrap(),
         capacity: Capacity {
@@ -194,6 +195,7 @@
             time_left_ms: LIMIT_MS - age_ms,
             last_resort: last_resort && self.on.bounded_memory,
             reuse_ms: 500.0,
+            version: Default::default(),
             ..r.offer.clone()
         };
         if offer.last_resort {
@@ -236,6 +238,7 @@
             resumes: false,
             last_resort: false,
             reuse_ms: 500.0,
+            version: Default::default(),
         };
         let request = Request {
             offer,
--- a/crates/placement/tests/memory.rs
+++ b/crates/placement/tests/memory.rs
@@ -24,6 +24,7 @@
     let info = TargetInfo {
         name: "t1".parse().unwrap(),
         born: 1,
+        version: Default::default(),
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         zone: "z1".parse().unwrap(),
         capacity: Capacity {
@@ -58,6 +59,7 @@
         resumes: false,
         last_resort: false,
         reuse_ms: 500.0,
+        version: Default::default(),
     }
 }
 
@@ -131,6 +133,7 @@
     let alone = Offer {
         last_resort: true,
         reuse_ms: 500.0,
+        version: Default::default(),
         ..large.clone()
     };
     let first = grants(&mut settled(now), &large, 200, now);
--- a/crates/placement/tests/placement/helper.rs
+++ b/crates/placement/tests/placement/helper.rs
@@ -23,6 +23,7 @@
         },
         leaving: false,
         warm_up_ms: 0.0,
+        version: Default::default(),
     }
 }
 
@@ -56,6 +57,7 @@
         resumes: false,
         reuse_ms: 500.0,
         last_resort: false,
+        version: Default::default(),
     }
 }
 
--- a/crates/placement/tests/shares/load.rs
+++ b/crates/placement/tests/shares/load.rs
@@ -39,6 +39,7 @@
     TargetInfo {
         name: name.parse().unwrap(),
         born: 1,
+        version: Default::default(),
         address: ([127, 0, 0, 1], 80).into(),
         zone: "z1".parse().unwrap(),
         capacity: Capacity {
@@ -68,6 +69,7 @@
         returned: false,
         resumes: false,
         reuse_ms: 500.0,
+        version: Default::default(),
         max_output: 0,
         last_resort: false,
     }
