Hold whole streams for callers that read slowly, within a budget

A caller that did not read its stream made the relay stop reading from the target after 16 events: the slot stayed taken, the target was charged with the time, and a target that cuts off unread responses ended in a resume.

With memory_mb an eighth of it holds events until callers have read them. When it is full the reader with the largest product of bytes and time without progress is given up; its response is aborted. Without the setting nothing changes.

Limiting each stream was ruled out: it wastes the budget when few callers are slow and exceeds it when many are.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::buffers::BufferBudget;
 use crate::connection::ConnectionPool;
 use crate::crash_sync::CrashGuard;
+use crate::held_stream::HeldStreams;
 use crate::limits::Limiter;
 use crate::proof::Permit;
 use crate::quota::QuotaStatus;
@@ -74,6 +75,8 @@
     pub slots: Arc<Slots>,
     pub connections: Arc<ConnectionPool>,
     pub buffers: Arc<BufferBudget>,
+    /// What is held for slow readers of streams; none if the node's memory is not configured.
+    pub held_streams: Option<Arc<HeldStreams>>,
     pub withheld: Arc<WithheldTargets>,
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! itself and relays the response. [`Protocol`] and [`Store`] are the adapter
 //! interfaces that a platform implements.
 
+mod backlog;
 mod buffers;
 mod catalog;
 mod catalog_sync;
@@ -15,6 +16,7 @@
 mod events;
 mod follow;
 mod gateway;
+mod held_stream;
 mod limits;
 mod local_scheduler;
 mod node;
@@ -34,6 +36,7 @@
 mod store_sync;
 mod withheld;
 
+pub use crate::backlog::{Backlog, ReaderId, Verdict};
 pub use crate::buffers::{BufferBudget, OverBudget, Reservation};
 pub use crate::catalog::{Catalog, Limits, Pool, Quota, RetryPolicy, Route, Workspace};
 pub use crate::edge::{
@@ -42,6 +45,7 @@
 };
 pub use crate::events::{Event, EventBuffer, EventError};
 pub use crate::gateway::{Aborted, Body};
+pub use crate::held_stream::HeldBytes;
 pub use crate::node::{GatewayNode, NodeError};
 pub use crate::quota::{
     LeaseReply, LocalQuota, NodeCounter, NodeCounts, QuotaBuckets, QuotaStatus, RetryBudget,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use log::{debug, info, warn};
-use rwd_metrics::Metrics;
+use rwd_metrics::{Metrics, label};
 use rwd_peer::{
     ByteCounter, Directory, Exchange, Handler, KeepAlive, LinkSettings, Links, Membership,
     MembershipSettings, new_incarnation,
@@ -32,10 +32,11 @@
 use crate::crash_sync::CrashGuard;
 use crate::follow::NodeList;
 use crate::gateway::{Body, Gateway, MAX_BUFFERED_BYTES};
+use crate::held_stream::{HeldBytes, HeldStreams};
 use crate::limits::Limiter;
 use crate::local_scheduler::LocalScheduler;
 use crate::room_sync::RoomSync;
-use crate::server::{StopPhase, accept, plain_response};
+use crate::server::{SEND_BUFFER_BYTES, SocketLimits, StopPhase, accept, plain_response};
 use crate::shards::{Shards, partition};
 use crate::slots::Slots;
 use crate::stop::{Admission, ShutdownPlan};
@@ -101,6 +102,7 @@
 /// A running node; dropping it aborts its tasks.
 pub struct GatewayNode {
     cfg: GatewaySettings,
+    held_streams: Option<Arc<HeldStreams>>,
     directory: Arc<Directory>,
     membership: Arc<Membership>,
     replica: Arc<StoreReplica>,
@@ -173,6 +175,8 @@
             replica.clone(),
             rooms,
         ));
+        let held_streams = cfg.memory_mb;
+        let held_streams = held_streams.map(|mb| HeldStreams::new(mb, metrics.clone()));
         let gateway = Arc::new(Gateway {
             protocol,
             instance,
@@ -181,6 +185,7 @@
             slots: slots.clone(),
             connections: connections.clone(),
             buffers: BufferBudget::new(MAX_BUFFERED_BYTES),
+            held_streams: held_streams.clone(),
             withheld: withheld.clone(),
             directory: directory.clone(),
             limiter: limiter.clone(),
@@ -301,14 +306,23 @@
         let (m, t) = (membership.clone(), timer.clone());
         tasks.spawn(async move { m.run(&t).await });
         let header_bytes = Limits::default().header_bytes;
+        let plain = SocketLimits {
+            header_bytes,
+            send_buffer: None,
+        };
         let g = gateway.clone();
         let serve = move |req| g.clone().serve(req);
-        tasks.spawn(accept(requests, header_bytes, stop.subscribe(), serve));
+        let send_buffer = cfg.memory_mb.map(|_| SEND_BUFFER_BYTES);
+        let limits = SocketLimits {
+            header_bytes,
+            send_buffer,
+        };
+        tasks.spawn(accept(requests, limits, stop.subscribe(), serve));
         let f = http_service.clone();
         let lookup = move |req| f.clone().lookup(req);
-        tasks.spawn(accept(lookups, header_bytes, stop.subscribe(), lookup));
+        tasks.spawn(accept(lookups, plain, stop.subscribe(), lookup));
         let status = move |req| http_service.clone().status(req);
-        tasks.spawn(accept(readiness, header_bytes, stop.subscribe(), status));
+        tasks.spawn(accept(readiness, plain, stop.subscribe(), status));
         let reload = Arc::new(Notify::new());
         tasks.spawn(maintain(
             timer,
@@ -325,6 +339,7 @@
         let in_progress = Arc::new(move || gateway.in_progress.load(Ordering::Relaxed));
         Ok(Self {
             cfg,
+            held_streams,
             directory,
             membership,
             replica,
@@ -357,6 +372,11 @@
         let _ = view.wait_for(|v| v.active().count() == count).await;
     }
 
+    /// What is held for callers that read streams slowly; none if the node's memory is not configured.
+    pub fn held_bytes(&self) -> Option<HeldBytes> {
+        self.held_streams.as_ref().map(|h| h.usage())
+    }
+
     /// The local replica of the store.
     pub fn replica(&self) -> &StoreReplica {
         &self.replica
@@ -455,11 +475,20 @@
         addresses
     }
 
+    fn metrics_text(&self) -> rwd_metrics::Result<String> {
+        let (m, g) = (&self.metrics, &self.gateway);
+        let streams = g.held_streams.as_ref().map_or(0, |h| h.usage().now);
+        for (kind, bytes) in [("streams", streams), ("responses", g.buffers.used())] {
+            m.held_bytes.record(bytes as u64, &[label("kind", kind)]);
+        }
+        m.text()
+    }
+
     async fn status(self: Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         let (parts, _) = req.into_parts();
         let running = *self.stop.borrow() == StopPhase::Running;
         match parts.uri.path() {
-            "/metrics" => match self.metrics.text() {
+            "/metrics" => match self.metrics_text() {
                 Ok(text) => plain_response(StatusCode::OK, "text/plain", Bytes::from(text)),
                 Err(e) => {
                     warn!(event = "metrics", error:% = e; "cannot write metrics");
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 use crate::connection::Connection;
 use crate::events::{Event, EventReader, Next};
 use crate::gateway::{Aborted, Body};
+use crate::held_stream::{Gone, HeldSender, Item};
 use crate::proof::Permit;
 use crate::run::{ActiveRequest, Attempt, Dispatch};
 use crate::slots::Slot;
@@ -33,8 +34,58 @@
     pub born: u64,
 }
 
-type Tx = mpsc::Sender<Result<Bytes, Aborted>>;
-type SendError = mpsc::error::SendError<Result<Bytes, Aborted>>;
+/// Where a caller's events go.
+enum Tx {
+    /// A few events; a slow caller makes the relay wait.
+    Bounded(mpsc::Sender<Item>),
+    /// All events, within the node's budget for slow callers.
+    Held(HeldSender),
+}
+
+impl Tx {
+    // Fails if the caller has disconnected or was given up.
+    async fn send(&mut self, event: Bytes) -> Result<(), Gone> {
+        match self {
+            Self::Bounded(tx) => tx.send(Ok(event)).await.map_err(|_| Gone),
+            Self::Held(tx) => tx.send(&event).await,
+        }
+    }
+
+    async fn abort(&self) {
+        match self {
+            // Fails only if the caller has disconnected meanwhile.
+            Self::Bounded(tx) => drop(tx.send(Err(Aborted)).await),
+            Self::Held(tx) => tx.abort(),
+        }
+    }
+
+    async fn closed(&self) {
+        match self {
+            Self::Bounded(tx) => tx.closed().await,
+            Self::Held(tx) => tx.closed().await,
+        }
+    }
+
+    // How long the relay has waited for this caller's room, which is not the target's time.
+    fn waited_ms(&self) -> f64 {
+        match self {
+            Self::Bounded(_) => 0.0,
+            Self::Held(tx) => tx.waited_ms(),
+        }
+    }
+
+    // Waits until a caller for which events are held has them.
+    async fn drained(&self) -> Result<(), Gone> {
+        match self {
+            Self::Bounded(_) => Ok(()),
+            Self::Held(tx) => tx.drained().await,
+        }
+    }
+
+    fn is_given_up(&self) -> bool {
+        matches!(self, Self::Held(tx) if tx.is_given_up())
+    }
+}
 
 /// Why a relay ended.
 enum Ended {
@@ -55,8 +106,18 @@
 impl<P: Protocol> Relay<P> {
     /// Responds with the stream's head and relays its events.
     pub fn start(request: ActiveRequest<P>, slot: Slot, started: StartedStream) -> Response<Body> {
-        let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
-        let mut response = Response::new(EventBody { rx }.boxed_unsync());
+        let id = &request.admitted.head.id;
+        let (tx, body) = match &request.gateway.held_streams {
+            Some(held) => {
+                let (tx, rx) = held.open(id, &request.parts);
+                (Tx::Held(tx), EventBody::Held(rx))
+            }
+            None => {
+                let (tx, rx) = mpsc::channel(MAX_BUFFERED_EVENTS);
+                (Tx::Bounded(tx), EventBody::Bounded(rx))
+            }
+        };
+        let mut response = Response::new(body.boxed_unsync());
         *response.status_mut() = started.parts.status;
         let mut headers = request
             .gateway
@@ -79,10 +140,16 @@
     }
 
     async fn run(mut self, slot: Slot, started: StartedStream) {
-        let ended = self.relay_all(slot, started).await;
+        let ended = match self.relay_all(slot, started).await {
+            Ended::Complete if self.tx.drained().await.is_err() => Ended::CallerGone,
+            ended => ended,
+        };
         let status = self.status.as_u16();
         match ended {
             Ended::Complete => self.request.record_end("complete", status),
+            Ended::CallerGone if self.tx.is_given_up() => {
+                self.request.record_end("slow-reader", status);
+            }
             Ended::CallerGone => self.request.record_end("caller-gone", status),
             Ended::TimedOut | Ended::Broken => {
                 let outcome = match ended {
@@ -90,8 +157,7 @@
                     _ => "stream-broken",
                 };
                 self.request.record_end(outcome, status);
-                // Fails only if the caller has disconnected meanwhile.
-                let _ = self.tx.send(Err(Aborted)).await;
+                self.tx.abort().await;
             }
         }
     }
@@ -122,11 +188,10 @@
 
     async fn resume(&mut self, mut permit: Option<Permit>) -> Result<(Slot, StartedStream), Ended> {
         while let Some(next) = permit {
-            let tx = self.tx.clone();
             let next = self.request.next_attempt(next, self.last_event);
             let next = tokio::select! {
                 next = next => next,
-                () = tx.closed() => return Err(Ended::CallerGone),
+                () = self.tx.closed() => return Err(Ended::CallerGone),
             };
             match next {
                 Ok((dispatch, Attempt::Started(started)))
@@ -171,6 +236,7 @@
         let first_byte = clock::now();
         self.request.writing_since = Some(first_byte);
         let events_before = self.request.events;
+        let waited_before = self.tx.waited_ms();
         let mut next = match first {
             Some(event) => Next::Event(event),
             None => Next::End,
@@ -188,16 +254,18 @@
                         .connections
                         .release(connection, &parts.headers);
                     let output = self.tokens(self.request.events - events_before);
+                    let waited_ms = self.tx.waited_ms() - waited_before;
+                    let rest_ms = (clock::now() - first_byte - waited_ms).max(0.0);
                     info!(
                         event = "stream_end", request:% = self.request.admitted.head.id,
                         target:% = slot.target, first_ms = first_ms as u64,
-                        rest_ms = (clock::now() - first_byte) as u64, events = self.request.events - events_before;
+                        rest_ms = rest_ms as u64, events = self.request.events - events_before;
                         "a target completed its stream"
                     );
                     self.request.record_sound(sent);
                     slot.release(SlotOutcome::Complete {
                         first_ms,
-                        rest_ms: clock::now() - first_byte,
+                        rest_ms,
                         output,
                     });
                     let total = self.tokens(self.request.events);
@@ -231,10 +299,10 @@
     }
 
     // Fails if the caller has disconnected.
-    async fn relay_event(&mut self, event: Event) -> Result<(), SendError> {
+    async fn relay_event(&mut self, event: Event) -> Result<(), Gone> {
         self.last_event = Some(event.id);
         self.request.events += 1;
-        self.tx.send(Ok(event.raw)).await
+        self.tx.send(event.raw).await
     }
 
     fn tokens(&self, events: u32) -> u32 {
@@ -244,8 +312,9 @@
     }
 }
 
-struct EventBody {
-    rx: mpsc::Receiver<Result<Bytes, Aborted>>,
+enum EventBody {
+    Bounded(mpsc::Receiver<Item>),
+    Held(mpsc::UnboundedReceiver<Item>),
 }
 
 impl HttpBody for EventBody {
@@ -256,8 +325,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
-        self.rx
-            .poll_recv(cx)
-            .map(|item| item.map(|r| r.map(Frame::data)))
+        let item = match &mut *self {
+            Self::Bounded(rx) => rx.poll_recv(cx),
+            Self::Held(rx) => rx.poll_recv(cx),
+        };
+        item.map(|item| item.map(|r| r.map(Frame::data)))
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -42,7 +42,7 @@
 pub(crate) struct ActiveRequest<P> {
     pub gateway: Arc<Gateway<P>>,
     pub admitted: Admitted,
-    parts: request::Parts,
+    pub parts: request::Parts,
     body: Bytes,
     exclude: Vec<TargetName>,
     // A slot for failover from an unresponsive target, already charged to the retry budget.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, warn};
+use socket2::SockRef;
 use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::gateway::Body;
+use crate::held_stream::Hangup;
 
 /// Pause after a failed accept, which mostly means that file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -36,10 +38,23 @@
     Closing,
 }
 
+/// Send buffer of a caller's connection in the kernel where memory is limited, in bytes. Linux
+/// doubles it.
+pub(crate) const SEND_BUFFER_BYTES: usize = 64 << 10;
+
+/// Bounds of what one connection holds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SocketLimits {
+    /// Largest head of a request, in bytes.
+    pub header_bytes: usize,
+    /// Size of the send buffer, in bytes; the system's own if none.
+    pub send_buffer: Option<usize>,
+}
+
 /// Accepts connections until the task is dropped.
 pub(crate) async fn accept<F, Fut>(
     listener: TcpListener,
-    header_bytes: usize,
+    limits: SocketLimits,
     stop: watch::Receiver<StopPhase>,
     handle: F,
 ) where
@@ -50,7 +65,7 @@
     loop {
         match listener.accept().await {
             Ok((tcp, _)) => {
-                tokio::spawn(serve(tcp, header_bytes, stop.clone(), handle.clone()));
+                tokio::spawn(serve(tcp, limits, stop.clone(), handle.clone()));
             }
             Err(e) => {
                 warn!(event = "accept", error:% = e; "cannot accept a connection");
@@ -62,7 +77,7 @@
 
 async fn serve<F, Fut>(
     tcp: TcpStream,
-    header_bytes: usize,
+    limits: SocketLimits,
     mut stop: watch::Receiver<StopPhase>,
     handle: Arc<F>,
 ) where
@@ -73,8 +88,15 @@
         debug!(error:% = e; "caller disconnected during accept");
         return;
     }
+    let socket = SockRef::from(&tcp);
+    if let Some(Err(e)) = limits.send_buffer.map(|n| socket.set_send_buffer_size(n)) {
+        warn!(event = "socket", error:% = e; "cannot limit a send buffer");
+    }
+    let hangup = Hangup::default();
+    let attached = hangup.clone();
     let phase = stop.clone();
-    let service = service_fn(move |req| {
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        attached.attach(req.extensions_mut());
         let response = handle(req);
         let phase = phase.clone();
         async move {
@@ -89,7 +111,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE_TIMEOUT)
-        .max_buf_size(header_bytes.max(8 << 10))
+        .max_buf_size(limits.header_bytes.max(8 << 10))
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(tcp), service);
     tokio::pin!(connection);
@@ -97,12 +119,16 @@
         result = connection.as_mut() => Some(result),
         // The sender lives as long as the node.
         _ = stop.wait_for(|s| *s == StopPhase::Closing) => None,
+        () = hangup.requested() => return,
     };
     let result = match ended {
         Some(result) => result,
         None => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                result = connection => result,
+                () = hangup.requested() => return,
+            }
         }
     };
     if let Err(e) = result {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -152,6 +152,10 @@
     /// CPU share as a fraction of a core; nodes with a larger one schedule for the others.
     #[serde(default = "whole_core")]
     pub cpu_share: f64,
+    /// Memory limit of the process, in megabytes. With it, whole streams are held for callers that
+    /// read slowly, within a share of it.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
     /// Secret shared by all nodes; authenticates peer connections.
     pub secret: Secret,
     /// Service-level bounds.
@@ -162,6 +166,9 @@
     pub scheduling: Scheduling,
 }
 
+/// Least memory of a node, in megabytes: a share of it has room for the largest event.
+const MIN_MEMORY_MB: u32 = 32;
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -206,8 +213,10 @@
         ];
         let not_positive = positive.into_iter().find(|(_, value)| *value <= 0.0);
         let other_ip = self.listen.reachable_peers().ip() != self.listen.peers.ip();
+        let too_small = self.memory_mb.is_some_and(|mb| mb < MIN_MEMORY_MB);
         let (place, reason) = match not_positive {
             Some((place, _)) => (place, "must be above zero"),
+            None if too_small => ("memory_mb", "must be at least 32"),
             // Nodes are named after their IP addresses.
             None if other_ip => (
                 "listen.advertised_peers",
--- a/crates/lab/src/site/caller.rs
+++ b/crates/lab/src/site/caller.rs
@@ -1,4 +1,4 @@
-//! A caller that sends each request on a new connection.
+//! Callers that send each request on a new connection.
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
@@ -6,7 +6,8 @@
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
 
 /// One request.
 #[derive(Clone, Debug)]
@@ -103,3 +104,62 @@
     task.abort();
     Ok(result)
 }
+
+/// Receive buffer of a caller that reads late, in bytes.
+const LATE_BUFFER_BYTES: u32 = 16 << 10;
+
+/// A caller that reads the head of its response, and the body only when told to.
+pub struct LateReader {
+    tcp: TcpStream,
+    received: BytesMut,
+}
+
+impl LateReader {
+    /// Sends a request without a body and reads until the end of the response's head.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails or ends before that.
+    pub async fn open(to: SocketAddr, call: &Call) -> std::io::Result<Self> {
+        let socket = match to {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_recv_buffer_size(LATE_BUFFER_BYTES)?;
+        let mut tcp = socket.connect(to).await?;
+        let mut head = format!("{} {} HTTP/1.1\r\n", call.method, call.path);
+        head += "host: shop.example\r\nconnection: close\r\ncontent-length: 0\r\n";
+        for (name, value) in &call.headers {
+            head += &format!("{name}: {value}\r\n");
+        }
+        tcp.write_all((head + "\r\n").as_bytes()).await?;
+        let mut received = BytesMut::new();
+        while head_end(&received).is_none() {
+            if tcp.read_buf(&mut received).await? == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        Ok(Self { tcp, received })
+    }
+
+    /// The status line of the response.
+    pub fn status(&self) -> String {
+        let line = self.received[..].split(|b| *b == b'\r').next();
+        String::from_utf8_lossy(line.unwrap_or_default()).into_owned()
+    }
+
+    /// Reads until the connection ends; the body with its chunk framing, and whether it is complete.
+    pub async fn finish(mut self) -> (Bytes, bool) {
+        // An error ends the response as well.
+        while matches!(self.tcp.read_buf(&mut self.received).await, Ok(n) if n > 0) {}
+        let body = head_end(&self.received).unwrap_or(self.received.len());
+        let body = self.received.split_off(body).freeze();
+        let complete = body.ends_with(b"\r\n0\r\n\r\n");
+        (body, complete)
+    }
+}
+
+fn head_end(bytes: &[u8]) -> Option<usize> {
+    let at = bytes.windows(4).position(|w| w == b"\r\n\r\n");
+    at.map(|at| at + 4)
+}
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -9,7 +9,7 @@
 mod store;
 mod target;
 
-pub use crate::site::caller::{Call, CallResult, call};
+pub use crate::site::caller::{Call, CallResult, LateReader, call};
 pub use crate::site::limit_count::{Excess, LimitCount};
 pub use crate::site::slow_link::SlowLink;
 pub use crate::site::store::{FakeStore, PAGE_RECORDS, StoreCopy, StoreFault};
--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -89,6 +89,9 @@
 /// Length of a pause; exceeds the gap after which the gateway considers a stream unresponsive.
 const PAUSE: Duration = Duration::from_millis(2000);
 
+/// Send buffer of a target that cuts off unread responses, in bytes.
+const UNREAD_BUFFER_BYTES: usize = 16 << 10;
+
 /// One request that reached the target.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Arrival {
@@ -149,6 +152,9 @@
     late: Vec<u8>,
     // How long it works on a request that it runs.
     work_time: Duration,
+    // How long a response may stay unread, and how many were cut off.
+    unread_limit: Option<Duration>,
+    cuts: usize,
 }
 
 /// A running fake target; dropping it stops accepting connections.
@@ -250,6 +256,16 @@
         lock(&self.shared).work_time = time;
     }
 
+    /// Cuts off responses of which nothing is read for so long, from now on.
+    pub fn cut_unread_after(&self, limit: Duration) {
+        lock(&self.shared).unread_limit = Some(limit);
+    }
+
+    /// Number of responses that it has cut off because they stayed unread.
+    pub fn cuts(&self) -> usize {
+        lock(&self.shared).cuts
+    }
+
     /// Writes each refusal once more from now on, or no longer.
     pub fn repeat_refusals(&self, place: Option<Late>) {
         lock(&self.shared).repeats = place;
@@ -429,7 +445,12 @@
             Behaviour::Pause => bytes.len() - bytes.len() / 4,
             _ => bytes.len(),
         };
-        tcp.write_all(&bytes[..middle]).await?;
+        let unread_limit = lock(shared).unread_limit;
+        if !write_unless_unread(&mut tcp, &bytes[..middle], unread_limit).await? {
+            lock(shared).cuts += 1;
+            SockRef::from(&tcp).set_linger(Some(Duration::ZERO))?;
+            return Ok(());
+        }
         if let Behaviour::Endless(_, piece) = behaviour {
             // An error means that the caller has closed the connection.
             while tcp.write_all(piece).await.is_ok() {
@@ -457,6 +478,26 @@
     }
 }
 
+// Writes bytes; false if the other side reads nothing for so long.
+async fn write_unless_unread(
+    tcp: &mut TcpStream,
+    mut bytes: &[u8],
+    limit: Option<Duration>,
+) -> std::io::Result<bool> {
+    let Some(limit) = limit else {
+        return tcp.write_all(bytes).await.map(|()| true);
+    };
+    // Otherwise the kernel takes the response in the place of the other side.
+    SockRef::from(&*tcp).set_send_buffer_size(UNREAD_BUFFER_BYTES)?;
+    while !bytes.is_empty() {
+        match tokio::time::timeout(limit, tcp.write(bytes)).await {
+            Ok(written) => bytes = &bytes[written?..],
+            Err(_) => return Ok(false),
+        }
+    }
+    Ok(true)
+}
+
 // Reads one request with its body and returns the head, or `None` at the end of the connection.
 async fn read_request(tcp: &mut TcpStream, buf: &mut BytesMut) -> std::io::Result<Option<String>> {
     let end = loop {
--- a/crates/lab/tests/gateway/helper.rs
+++ b/crates/lab/tests/gateway/helper.rs
@@ -110,6 +110,7 @@
             seeds: vec![SocketAddr::new(ip_in(self.subnet, 1), PEER_PORT)],
             store: self.store.address(),
             cpu_share: 1.0,
+            memory_mb: None,
             secret: Secret::new("a secret of the tests"),
             bounds: Bounds::default(),
             scheduling: Default::default(),
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod restore_storms;
 mod restored_store;
+mod slow_readers;
 mod spilling;
 mod store;
 mod stray_bytes;
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -2,7 +2,7 @@
 
 use derive_more::{Display, Error, From};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -64,6 +64,10 @@
     pub limits_changed: Counter<u64>,
     /// Responses that ended or interrupted the use of their targets, by reason.
     pub targets_withheld: Counter<u64>,
+    /// Bytes held for responses that callers have not read yet, by kind.
+    pub held_bytes: Gauge<u64>,
+    /// Callers whose connections were ended because of the bytes held for them.
+    pub slow_readers_dropped: Counter<u64>,
     /// Failed reads of the store, by feed.
     pub store_reads_failed: Counter<u64>,
 }
@@ -100,6 +104,8 @@
             second_sends: counter(&meter, "second_sends"),
             limits_changed: counter(&meter, "limits_changed"),
             targets_withheld: counter(&meter, "targets_withheld"),
+            held_bytes: meter.u64_gauge("held_bytes").build(),
+            slow_readers_dropped: counter(&meter, "slow_readers_dropped"),
             store_reads_failed: counter(&meter, "store_reads_failed"),
             _provider: provider,
         })
