Receive request bodies within a budget of the node

With memory_mb a body reserves what has arrived of it. One that exceeds what the budget has left is refused with 503 (not run).

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,7 +17,7 @@
     HttpInstanceList, Instance, InstanceList, InstanceRole, InstanceState, Listing,
 };
 pub use crate::log_service::{Batch, HttpLog, Log, LogRecord};
-pub use crate::request_body::{BodyError, receive_body};
+pub use crate::request_body::{BodyError, discard_body, receive_body};
 pub use crate::sse::{MAX_EVENT_BYTES, SseEvent, SseParser};
 pub use crate::target::{
     CacheEvent, CacheEvents, HttpTargets, LoadReport, STREAM_HEADER, TargetRequest, TargetResponse,
--- a/crates/edge/src/request_body.rs
+++ b/crates/edge/src/request_body.rs
@@ -41,7 +41,7 @@
         match Limited::new(&mut body, max_bytes).collect().await {
             Ok(collected) => Ok(collected.to_bytes()),
             Err(e) if e.is::<LengthLimitError>() => {
-                discard(&mut body).await;
+                discard_body(&mut body).await;
                 Err(BodyError::TooLarge)
             }
             Err(_) => Err(BodyError::Broken),
@@ -52,7 +52,8 @@
         .unwrap_or(Err(BodyError::TooSlow))
 }
 
-async fn discard(body: &mut Incoming) {
+/// Reads the rest of a body that is refused, up to a limit.
+pub async fn discard_body(body: &mut Incoming) {
     let mut left = MAX_DISCARDED;
     while let Some(Ok(frame)) = body.frame().await {
         let len = frame.data_ref().map_or(0, Bytes::len);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::proof::Permit;
 use crate::quota::QuotaStatus;
 use crate::refusal::Refusal;
+use crate::request_body;
 use crate::run::ActiveRequest;
 use crate::slots::Slots;
 use crate::stop::Admission;
@@ -77,6 +78,8 @@
     pub buffers: Arc<BufferBudget>,
     /// What is held for slow readers of streams; none if the node's memory is not configured.
     pub held_streams: Option<Arc<HeldStreams>>,
+    /// What is held for request bodies; none if the node's memory is not configured.
+    pub bodies: Option<Arc<BufferBudget>>,
     pub withheld: Arc<WithheldTargets>,
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
@@ -153,6 +156,9 @@
 
     async fn read_body(&self, body: Incoming, admitted: &Admitted) -> Result<Bytes, Refusal> {
         let max_bytes = admitted.catalog.limits.body_bytes;
+        if let Some(budget) = &self.bodies {
+            return request_body::receive(body, max_bytes, BODY_TIMEOUT, budget.reserve()).await;
+        }
         let received = receive_body(body, max_bytes, BODY_TIMEOUT).await;
         received.map_err(|e| match e {
             BodyError::TooLarge => Refusal::TooLarge,
--- a/crates/gateway/src/held_stream.rs
+++ b/crates/gateway/src/held_stream.rs
@@ -15,7 +15,8 @@
 use crate::clock;
 use crate::gateway::Aborted;
 
-/// Fraction of the memory of the process that may be held for callers that read streams slowly.
+/// Fraction of the memory of the process that may be held for callers that read streams slowly, and for those
+/// that send request bodies.
 const BACKLOG_SHARE: usize = 8;
 /// What an event occupies beside its own bytes: an allocation each for it and its reservation, and its
 /// place in the queue.
@@ -41,6 +42,11 @@
     pub max: usize,
 }
 
+/// What may be held for slow callers of one kind, in bytes, of so much memory in megabytes.
+pub(crate) fn memory_share(memory_mb: u32) -> usize {
+    ((memory_mb as usize) << 20) / BACKLOG_SHARE
+}
+
 /// Ends a caller's connection from outside the task that serves it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Hangup(Arc<Notify>);
@@ -83,7 +89,7 @@
 impl HeldStreams {
     /// Holds a share of so much memory, in megabytes.
     pub fn new(memory_mb: u32, metrics: Arc<Metrics>) -> Arc<Self> {
-        let max_bytes = ((memory_mb as usize) << 20) / BACKLOG_SHARE;
+        let max_bytes = memory_share(memory_mb);
         Arc::new(Self {
             backlog: Mutex::new(Backlog::new(max_bytes)),
             released: Notify::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod refusal;
 mod relay;
 mod replica;
+mod request_body;
 mod room;
 mod room_sync;
 mod run;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -32,7 +32,7 @@
 use crate::crash_sync::CrashGuard;
 use crate::follow::NodeList;
 use crate::gateway::{Body, Gateway, MAX_BUFFERED_BYTES};
-use crate::held_stream::{HeldBytes, HeldStreams};
+use crate::held_stream::{HeldBytes, HeldStreams, memory_share};
 use crate::limits::Limiter;
 use crate::local_scheduler::LocalScheduler;
 use crate::room_sync::RoomSync;
@@ -186,6 +186,7 @@
             connections: connections.clone(),
             buffers: BufferBudget::new(MAX_BUFFERED_BYTES),
             held_streams: held_streams.clone(),
+            bodies: cfg.memory_mb.map(|mb| BufferBudget::new(memory_share(mb))),
             withheld: withheld.clone(),
             directory: directory.clone(),
             limiter: limiter.clone(),
@@ -478,7 +479,13 @@
     fn metrics_text(&self) -> rwd_metrics::Result<String> {
         let (m, g) = (&self.metrics, &self.gateway);
         let streams = g.held_streams.as_ref().map_or(0, |h| h.usage().now);
-        for (kind, bytes) in [("streams", streams), ("responses", g.buffers.used())] {
+        let bodies = g.bodies.as_ref().map_or(0, |b| b.used());
+        let responses = g.buffers.used();
+        for (kind, bytes) in [
+            ("streams", streams),
+            ("responses", responses),
+            ("bodies", bodies),
+        ] {
             m.held_bytes.record(bytes as u64, &[label("kind", kind)]);
         }
         m.text()
--- a/crates/lab/src/site/caller.rs
+++ b/crates/lab/src/site/caller.rs
@@ -121,6 +121,20 @@
     ///
     /// Returns an error if the connection fails or ends before that.
     pub async fn open(to: SocketAddr, call: &Call) -> std::io::Result<Self> {
+        Self::send_part(to, call, 0, 0).await
+    }
+
+    /// Sends `sent` bytes of a body of `length` bytes, no more, and reads until the end of the response's head.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails or ends before that.
+    pub async fn send_part(
+        to: SocketAddr,
+        call: &Call,
+        length: usize,
+        sent: usize,
+    ) -> std::io::Result<Self> {
         let socket = match to {
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
@@ -128,11 +142,13 @@
         socket.set_recv_buffer_size(LATE_BUFFER_BYTES)?;
         let mut tcp = socket.connect(to).await?;
         let mut head = format!("{} {} HTTP/1.1\r\n", call.method, call.path);
-        head += "host: shop.example\r\nconnection: close\r\ncontent-length: 0\r\n";
+        head += "host: shop.example\r\nconnection: close\r\n";
+        head += &format!("content-length: {length}\r\n");
         for (name, value) in &call.headers {
             head += &format!("{name}: {value}\r\n");
         }
         tcp.write_all((head + "\r\n").as_bytes()).await?;
+        tcp.write_all(&vec![b'x'; sent]).await?;
         let mut received = BytesMut::new();
         while head_end(&received).is_none() {
             if tcp.read_buf(&mut received).await? == 0 {
--- a/crates/lab/tests/gateway/slow_readers.rs
+++ b/crates/lab/tests/gateway/slow_readers.rs
@@ -1,10 +1,11 @@
 //! Callers that read streams late or not at all, before targets that cut off unread responses.
 
-use crate::helper::{TestCluster, get, post};
+use crate::helper::{KEY, TestCluster, get, post};
 use rwd_gateway::HeldBytes;
-use rwd_lab::site::{Behaviour, LateReader, call};
+use rwd_lab::site::{Behaviour, LateReader, call, config_record};
 use std::sync::LazyLock;
 use std::time::Duration;
+use tokio::task::JoinSet;
 
 /// Events of each stream.
 const EVENTS: usize = 64;
@@ -52,6 +53,15 @@
     cluster.nodes[0].held_bytes().unwrap()
 }
 
+// A value of the node's metrics.
+async fn metric(cluster: &TestCluster, name: &str, label: &str) -> Option<usize> {
+    let metrics = call(cluster.readiness_addr(0), &get("/metrics", "m")).await;
+    let text = String::from_utf8(metrics.unwrap().body.to_vec()).unwrap();
+    let mut lines = text.lines();
+    let line = lines.find(|l| l.starts_with(name) && l.contains(label));
+    line.and_then(|l| l.rsplit(' ').next()?.parse().ok())
+}
+
 // Each stream went to one target once, and was read to its end.
 fn assert_taken(cluster: &TestCluster, count: usize) {
     for target in &cluster.model_targets {
@@ -100,16 +110,49 @@
     assert!(bytes.peak <= bytes.max && bytes.now == 0, "{bytes:?}");
     assert_taken(&cluster, count);
     let given_up = complete.iter().filter(|c| !**c).count();
-    let metrics = call(cluster.readiness_addr(0), &get("/metrics", "m")).await;
-    let metrics = String::from_utf8(metrics.unwrap().body.to_vec()).unwrap();
-    let value = |name: &str, label: &str| {
-        let mut lines = metrics.lines();
-        let line = lines.find(|l| l.starts_with(name) && l.contains(label));
-        line.and_then(|l| l.rsplit(' ').next()?.parse::<usize>().ok())
-    };
-    assert_eq!(value("slow_readers_dropped", ""), Some(given_up));
-    assert_eq!(value("held_bytes", r#"kind="streams""#), Some(0));
+    assert_eq!(
+        metric(&cluster, "slow_readers_dropped", "").await,
+        Some(given_up)
+    );
+    assert_eq!(
+        metric(&cluster, "held_bytes", r#"kind="streams""#).await,
+        Some(0)
+    );
     let first = complete.iter().position(|c| *c).unwrap();
     assert!(first > 0, "the longest silence was kept: {complete:?}");
     assert!(complete[count - 1], "the shortest silence was not kept");
 }
+
+/// Guards against callers that send large bodies slowly and together exceed a node's memory, or keep a
+/// small request out. A budget of 4 MiB has room for three bodies of which 1 MiB has arrived.
+#[tokio::test]
+async fn slow_request_bodies_stay_within_the_budget_and_leave_room() {
+    let mut cluster = TestCluster::start(0, 2, 0).await;
+    let config = config_record(2, &[KEY], 1_000_000);
+    let config = config.replace(r#""max_body_bytes":4096"#, r#""max_body_bytes":4194304"#);
+    cluster.store.put("keyed.op", "config", Some(&config));
+    let mut cfg = cluster.settings(0);
+    cfg.memory_mb = Some(32);
+    cluster.add_node_with(cfg).await;
+    cluster.nodes[0].await_ready().await;
+    cluster.nodes[0].await_config(2).await;
+    let mut senders = JoinSet::new();
+    for n in 0..20 {
+        let (to, req) = (
+            cluster.request_addr(0),
+            post("/safe/a", &format!("slow-{n}")),
+        );
+        senders.spawn(async move { LateReader::send_part(to, &req, 2 << 20, 1 << 20).await });
+    }
+    for _ in 0..17 {
+        let refused = senders.join_next().await.unwrap().unwrap().unwrap();
+        assert_eq!(refused.status(), "HTTP/1.1 503 Service Unavailable");
+        let mut req = post("/safe/a", "small");
+        req.body = vec![b'x'; 1000].into();
+        let result = cluster.call(&req).await;
+        assert_eq!(result.status.unwrap(), 200);
+    }
+    // Those that wait hold what they have sent, and no more than the budget.
+    let held = metric(&cluster, "held_bytes", r#"kind="bodies""#).await;
+    assert!((3 << 20..=4 << 20).contains(&held.unwrap()), "{held:?}");
+}
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -64,7 +64,7 @@
     pub limits_changed: Counter<u64>,
     /// Responses that ended or interrupted the use of their targets, by reason.
     pub targets_withheld: Counter<u64>,
-    /// Bytes held for responses that callers have not read yet, by kind.
+    /// Bytes held for slow callers and for responses that are not complete yet, by kind.
     pub held_bytes: Gauge<u64>,
     /// Callers whose connections were ended because of the bytes held for them.
     pub slow_readers_dropped: Counter<u64>,
