--- a/crates/gateway/tests/parsing.rs
+++ b/crates/gateway/tests/parsing.rs
@@ -173,6 +173,11 @@
         ),
         ("\"stop_grace_s\": 8", "\"unknown\": 0", "bounds.unknown"),
         ("\"secret\": \"s\",", "", "."),
+        (
+            "\"secret\": \"s\"",
+            "\"secret\": \"s\", \"memory_mb\": 31",
+            "memory_mb",
+        ),
         (
             "\"peers\": \"127.0.0.1:4\"",
             "\"peers\": \"127.0.0.1:4\", \"advertised_peers\": \"127.0.0.9:4\"",
