--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! itself and relays the response. [`Protocol`] and [`Store`] are the adapter
 //! interfaces that a platform implements.
 
+mod backlog;
 mod buffers;
 mod catalog;
 mod catalog_sync;
@@ -16,6 +17,7 @@
 mod follow;
 mod gateway;
 mod handover;
+mod held_stream;
 mod limits;
 mod local_scheduler;
 mod node;
@@ -25,6 +27,7 @@
 mod refusal;
 mod relay;
 mod replica;
+mod request_body;
 mod rollout;
 mod room;
 mod room_sync;
@@ -37,6 +40,7 @@
 mod store_sync;
 mod withheld;
 
+pub use crate::backlog::{Backlog, ReaderId, Verdict};
 pub use crate::buffers::{BufferBudget, OverBudget, Reservation};
 pub use crate::catalog::{Catalog, Limits, Pool, Quota, RetryPolicy, Route, Workspace};
 pub use crate::clock::UnixClock;
@@ -46,6 +50,7 @@
 };
 pub use crate::events::{Event, EventBuffer, EventError};
 pub use crate::gateway::{Aborted, Body};
+pub use crate::held_stream::HeldBytes;
 pub use crate::node::{GatewayNode, NodeError};
 pub use crate::quota::{
     LeaseReply, LocalQuota, NodeCounter, NodeCounts, QuotaBuckets, QuotaStatus, RetryBudget,
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod restore_storms;
 mod restored_store;
 mod rollouts;
+mod slow_readers;
 mod spilling;
 mod store;
 mod stray_bytes;
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -2,7 +2,7 @@
 
 use derive_more::{Display, Error, From};
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
@@ -68,6 +68,10 @@
     pub rollout_sends: Counter<u64>,
     /// Roll-outs that this node has ended, by state.
     pub rollouts_ended: Counter<u64>,
+    /// Bytes held for slow callers and for responses that are not complete yet, by kind.
+    pub held_bytes: Gauge<u64>,
+    /// Callers whose connections were ended because of the bytes held for them.
+    pub slow_readers_dropped: Counter<u64>,
     /// Failed reads of the store, by feed.
     pub store_reads_failed: Counter<u64>,
 }
@@ -106,6 +110,8 @@
             targets_withheld: counter(&meter, "targets_withheld"),
             rollout_sends: counter(&meter, "rollout_sends"),
             rollouts_ended: counter(&meter, "rollouts_ended"),
+            held_bytes: meter.u64_gauge("held_bytes").build(),
+            slow_readers_dropped: counter(&meter, "slow_readers_dropped"),
             store_reads_failed: counter(&meter, "store_reads_failed"),
             _provider: provider,
         })
--- a/crates/placement/src/precedence.rs
+++ b/crates/placement/src/precedence.rs
@@ -19,6 +19,8 @@
 const DOUBLING_MS: f64 = 400.0;
 /// Largest factor of a weight.
 const MAX_FACTOR: f64 = 64.0;
+/// Ratio between a priority that is raised as far as possible and the one before it.
+const JUST_BEHIND: f64 = 1.001;
 /// Longest time that one update accounts for, in milliseconds.
 const MAX_STEP_MS: f64 = 200.0;
 
@@ -55,9 +57,20 @@
         tally.in_time += f64::from(u8::from(in_time));
     }
 
-    /// Factor by which the weight of a route priority is raised.
-    pub fn factor(&self, priority: u8) -> f64 {
-        self.by_priority.get(&priority).map_or(1.0, |t| t.factor)
+    /// Raises the order of route priorities that fall behind, from the ratios of slot time and weight
+    /// by priority, of which the lowest is served first. A priority is raised at most to just behind
+    /// those more urgent ones that it was behind before.
+    pub fn raise(&self, ratios: &mut IndexMap<u8, f64>) {
+        ratios.sort_unstable_keys();
+        let mut ahead: Vec<(f64, f64)> = Vec::with_capacity(ratios.len());
+        for (priority, ratio) in ratios.iter_mut() {
+            let factor = self.by_priority.get(priority).map_or(1.0, |t| t.factor);
+            let before = ahead.iter().filter(|(given, _)| given < ratio);
+            let limit = before.map(|(_, raised)| raised * JUST_BEHIND);
+            let raised = limit.fold(*ratio / factor, f64::max).min(*ratio);
+            ahead.push((*ratio, raised));
+            *ratio = raised;
+        }
     }
 
     /// Adjusts the factors to the shares of requests that were served in time.
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -143,6 +143,8 @@
     grant_rate: GrantRate,
     speed: Speed,
     precedence: Precedence,
+    // Slot time over weight by route priority, as the order of service uses it.
+    ratios: IndexMap<u8, f64>,
     // Mean slot time by route priority, in milliseconds.
     slot_ms: IndexMap<u8, f64>,
     last_offer: Option<Timestamp>,
@@ -625,15 +627,22 @@
     }
 
     fn priority(&self, rank: Rank, mark: u8, cfg: &PlacementSettings) -> Priority {
-        let slot_ms = self.slot_ms.get(&rank.route).copied().unwrap_or(1.0);
-        let factor = match cfg.keeps_precedence {
-            true => self.precedence.factor(rank.route),
-            false => 1.0,
-        };
+        let ratio = self.ratios.get(&rank.route).copied();
         Priority {
             workspace: rank.workspace,
             mark,
-            smith_ratio: slot_ms * cfg.priority_factor.powi(i32::from(rank.route)) / factor,
+            smith_ratio: ratio.unwrap_or_else(|| cfg.priority_factor.powi(i32::from(rank.route))),
+        }
+    }
+
+    // Slot time over weight by route priority.
+    fn update_ratios(&mut self, cfg: &PlacementSettings, now: Timestamp) {
+        let slot_ms = self.slot_ms.iter();
+        let ratios = slot_ms.map(|(r, ms)| (*r, ms * cfg.priority_factor.powi(i32::from(*r))));
+        self.ratios = ratios.collect();
+        if cfg.keeps_precedence {
+            self.precedence.update(now);
+            self.precedence.raise(&mut self.ratios);
         }
     }
 
@@ -645,7 +654,7 @@
             call_ms: median(usable().map(Target::call_ms).collect()),
         };
         let slots = usable().map(|t| f64::from(t.info.capacity.slots)).sum();
-        self.precedence.update(now);
+        self.update_ratios(cfg, now);
         if cfg.counts_use() {
             self.count_new();
         }
--- a/crates/placement/tests/placement/precedence.rs
+++ b/crates/placement/tests/placement/precedence.rs
@@ -108,7 +108,7 @@
 /// for slot time they go last, and an overload starves them first.
 #[test]
 fn a_priority_is_served_as_often_as_lower_ones_with_shorter_requests() {
-    let ([_, middle, lowest], value_before) = serve_overload(PlacementSettings::default());
+    let ([before, middle, lowest], value_before) = serve_overload(PlacementSettings::default());
     assert!(
         middle < lowest - 0.2,
         "{middle} of the middle, {lowest} of the lowest"
@@ -118,6 +118,11 @@
         ..PlacementSettings::default()
     };
     let ([highest, middle, lowest], value) = serve_overload(cfg);
+    // Nor by putting the middle before the highest.
+    assert!(
+        highest > before - 0.02,
+        "{highest} of the highest, {before} before"
+    );
     assert!(
         highest > middle - 0.05,
         "{highest} of the highest, {middle} of the middle"
