--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -172,16 +172,16 @@
             cfg.bounds.clone(),
         ));
         let crash_guard = Arc::new(CrashGuard::new(directory.clone(), links.clone()));
-        let slots = Arc::new(Slots::new(
+        let slots = Slots::new(
             instance.clone(),
             scheduler.clone(),
             directory.clone(),
             links.clone(),
             shards.clone(),
             replica.clone(),
-            rooms,
             cfg.scheduling.clone(),
-        ));
+        );
+        let slots = Arc::new(slots.with_rooms(rooms));
         let rollouts = Arc::new(Rollouts::new(
             instance.clone(),
             directory.clone(),
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -159,7 +159,7 @@
 
 /// A scheduler's first reply to an offer.
 enum Reply {
-    Slot(Slot),
+    Slot(Box<Slot>),
     Declined(Declined),
     Queued(OpenOffer),
 }
@@ -172,7 +172,6 @@
         links: Arc<Links>,
         shards: Arc<Shards>,
         replica: Arc<StoreReplica>,
-        rooms: Option<Arc<RoomSync>>,
         cfg: Scheduling,
     ) -> Self {
         Self {
@@ -184,7 +183,7 @@
             replica,
             avoided: Mutex::default(),
             known_limits: Mutex::default(),
-            rooms,
+            rooms: None,
             cfg,
             held: Arc::default(),
         }
@@ -197,6 +196,11 @@
         memory.is_some_and(|m| exceeds_memory(worst_case(offer), m))
     }
 
+    /// Offers requests to the shards that have room, as far as these are known.
+    pub fn with_rooms(self, rooms: Option<Arc<RoomSync>>) -> Self {
+        Self { rooms, ..self }
+    }
+
     fn known_limits(&self) -> MutexGuard<'_, KnownLimits> {
         self.known_limits.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -280,7 +284,7 @@
         for shard in shards.into_iter().take(MAX_SHARDS) {
             offer.pool = shard.name.clone();
             match self.offer_to(&shard, &offer, created).await {
-                Reply::Slot(slot) => return Ok(slot),
+                Reply::Slot(slot) => return Ok(*slot),
                 Reply::Declined(d) => declined = Some(d),
                 Reply::Queued(o) => open.push((o, shard)),
             }
@@ -298,7 +302,7 @@
                     self.record_loss(&open_offer, &offer, &e);
                     offer.pool = shard.name.clone();
                     match self.offer_to(&shard, &offer, created).await {
-                        Reply::Slot(slot) => return Ok(slot),
+                        Reply::Slot(slot) => return Ok(*slot),
                         Reply::Declined(d) => declined = Some(d),
                         Reply::Queued(o) => return self.wait_after_loss(o, &offer).await,
                     }
@@ -371,7 +375,12 @@
         match ticket.try_decision() {
             Some(Ok(granted)) => {
                 let open_offer = OpenOffer::Local(ticket);
-                Reply::Slot(self.granted_slot(open_offer, granted, offer, &shard.name))
+                Reply::Slot(Box::new(self.granted_slot(
+                    open_offer,
+                    granted,
+                    offer,
+                    &shard.name,
+                )))
             }
             Some(Err(declined)) => Reply::Declined(declined),
             None => Reply::Queued(OpenOffer::Local(ticket)),
@@ -532,7 +541,7 @@
             reply => match parse_decision(reply)? {
                 Ok(granted) => {
                     let slot = self.granted_slot(open_offer, granted, offer, &pool);
-                    Ok(Reply::Slot(slot))
+                    Ok(Reply::Slot(Box::new(slot)))
                 }
                 Err(declined) => Ok(Reply::Declined(declined)),
             },
--- a/crates/gateway/src/slots/spill.rs
+++ b/crates/gateway/src/slots/spill.rs
@@ -104,7 +104,7 @@
                 (choice, reply) = next_reply(&mut wait.asking) => {
                     wait.asking = None;
                     match reply {
-                        Reply::Slot(slot) => return Ok(self.taken(sync, slot, &choice, &offer)),
+                        Reply::Slot(slot) => return Ok(self.taken(sync, *slot, &choice, &offer)),
                         Reply::Declined(d) => wait.declined = Some(d),
                         Reply::Queued(o) => wait.open.push((o, choice)),
                     }
