--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -112,8 +112,6 @@
     pub paced_returns: bool,
     /// Whether requests go to other availability zones where these have room.
     pub spilling: bool,
-    /// Whether the concurrency that a target takes well is learned.
-    pub learned_capacity: bool,
     /// Whether targets crash when their requests exceed their memory.
     pub bounded_memory: bool,
     /// Whether targets to which the home node has a connection are preferred.
@@ -129,7 +127,6 @@
             keeps_precedence: self.keeps_precedence,
             workspace_shares: self.workspace_shares,
             paced_returns: self.paced_returns,
-            learned_capacity: self.learned_capacity,
             bounded_memory: self.bounded_memory,
             prefers_connected: self.prefers_connected,
             handover: self.handover,
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -59,8 +59,6 @@
     pub workspace_shares: bool,
     /// Whether refused callers return at the rate that the pool will serve.
     pub paced_returns: bool,
-    /// Whether the concurrency that a target takes well is learned; otherwise it is what it lists.
-    pub learned_capacity: bool,
     /// Whether targets crash when their requests exceed their memory, so that the worst case counts.
     pub bounded_memory: bool,
     /// Whether targets to which the home node has a connection are preferred.
@@ -77,7 +75,6 @@
             keeps_precedence: false,
             workspace_shares: false,
             paced_returns: false,
-            learned_capacity: false,
             bounded_memory: false,
             prefers_connected: false,
             handover: false,
