--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -14,10 +14,10 @@
 use rwd_types::{InstanceName, PoolName, TargetName};
 use rwd_wire::{KnownOrder, Liveness, Message};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::{Feed, Position, Record, Store, StoreReplica, clock};
+use crate::{Feed, Position, Record, Store, StoreReplica, UnixClock, clock};
 
 /// Period in which reports that are due are sent.
 const TICK: Duration = Duration::from_millis(50);
@@ -59,6 +59,7 @@
     metrics: Arc<Metrics>,
     /// Without limits there are no roll-outs.
     limits: Option<RolloutLimits>,
+    unix: UnixClock,
     inner: Mutex<Inner>,
 }
 
@@ -132,6 +133,7 @@
             replica,
             metrics,
             limits,
+            unix: UnixClock::start(),
             inner: Mutex::default(),
         }
     }
@@ -473,7 +475,7 @@
             if let Some(decider) = inner.deciders.get_mut(pool) {
                 let before = decider.stage();
                 let found = stored.swap_remove(pool);
-                decider.confirm(found, as_of, now, unix_now_ms());
+                decider.confirm(found, as_of, now, self.unix.unix_ms(0.0, clock::now()));
                 log_stage(pool, decider, before, now);
             }
         }
@@ -497,7 +499,8 @@
         let due = {
             let inner = self.lock();
             let decider = inner.deciders.get(pool);
-            decider.and_then(|d| d.next_write(&members, as_of, unix_now_ms()))
+            decider
+                .and_then(|d| d.next_write(&members, as_of, self.unix.unix_ms(0.0, clock::now())))
         };
         let Some(status) = due else {
             return Some(at);
@@ -534,11 +537,6 @@
     }
 }
 
-fn unix_now_ms() -> f64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.unwrap_or_default().as_secs_f64() * 1000.0
-}
-
 fn log_stage(pool: &PoolName, decider: &Decider, before: Stage, now: Timestamp) {
     let stage = decider.stage();
     if stage == before {
--- a/crates/placement/src/returns.rs
+++ b/crates/placement/src/returns.rs
@@ -1,4 +1,4 @@
-//! When refused callers are asked to come back, and which requests cannot be served.
+//! When refused callers are asked to come back.
 
 use indexmap::IndexMap;
 use rwd_types::WorkspaceName;
