--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod http;
+mod idle_channels;
 mod large_bodies;
 mod node;
 mod record;
@@ -56,6 +57,7 @@
     let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
         "stale-readers-key" => stale_readers::play(&case_of, stale_readers::What::Key),
         "stale-readers-runner" => stale_readers::play(&case_of, stale_readers::What::Runner),
+        "idle-channels" => idle_channels::play(&case_of),
         "slow-answer" => slow_answer::play(&case_of),
         "large-bodies" => large_bodies::play(&case_of),
         other => cannot_run(&format!("there is no case {other}")),
--- a/review/stand-2/node.rs
+++ b/review/stand-2/node.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -10,8 +11,34 @@
 
 use crate::http::Conn;
 
+#[repr(C)]
+struct Limit {
+    soft: u64,
+    hard: u64,
+}
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn getrlimit(resource: i32, limit: *mut Limit) -> i32;
+    fn setrlimit(resource: i32, limit: *const Limit) -> i32;
+}
+
+/// The number of open files, in Linux.
+const RLIMIT_NOFILE: i32 = 7;
+/// `limits.max_fds` of the sites.
+const MAX_FDS: u64 = 4100;
+
+/// Lets this process have so many descriptors; returns whether it may.
+pub fn allow_descriptors(count: u64) -> bool {
+    let mut limit = Limit { soft: 0, hard: 0 };
+    // Both calls only read or write the value that they are given.
+    unsafe {
+        if getrlimit(RLIMIT_NOFILE, &mut limit) != 0 || limit.hard < count {
+            return false;
+        }
+        limit.soft = limit.soft.max(count);
+        setrlimit(RLIMIT_NOFILE, &limit) == 0
+    }
 }
 
 pub const SIGKILL: i32 = 9;
@@ -25,7 +52,7 @@
     pub grace_s: u32,
 }
 
-/// The contracts of `sites/naidu-ballast.toml`.
+/// The contracts of both site files in `sites/`.
 pub const TERMS: &str = "\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"quota\",\"platform\"";
 
 /// Addresses of one run: all in 127.0.0.0/8, and ports that are free.
@@ -145,7 +172,19 @@
         let mut options = File::options();
         let log = options.create(true).append(true).open(&self.log);
         let log = log.expect("a file for the log");
-        let child = Command::new("target/release/redwingdrift")
+        let mut command = Command::new("target/release/redwingdrift");
+        // The descriptors that the platform gives it.
+        unsafe {
+            command.pre_exec(|| {
+                let limit = Limit {
+                    soft: MAX_FDS,
+                    hard: MAX_FDS,
+                };
+                setrlimit(RLIMIT_NOFILE, &limit);
+                Ok(())
+            });
+        }
+        let child = command
             .args(["gateway", "--settings"])
             .arg(&self.settings)
             .current_dir(&self.root)
@@ -183,6 +222,36 @@
         Some(pages * 4096)
     }
 
+    /// Its open descriptors.
+    pub fn descriptors(&self) -> usize {
+        let files = self
+            .pid()
+            .and_then(|p| std::fs::read_dir(format!("/proc/{p}/fd")).ok());
+        files.map_or(0, Iterator::count)
+    }
+
+    /// A channel for questions whether it is ready.
+    pub fn readiness_channel(&self) -> Option<Conn> {
+        let conn = Conn::connect(self.ready).ok()?;
+        conn.stream
+            .set_read_timeout(Some(Duration::from_secs(1)))
+            .ok()?;
+        Some(conn)
+    }
+
+    /// Asks on a kept channel whether it is ready.
+    pub fn asks_ready(conn: &mut Conn) -> bool {
+        let answer = conn.send(b"GET /api/readyz HTTP/1.1\r\nHost: node\r\n\r\n");
+        let head = answer.and_then(|()| {
+            let head = conn.read_head()?;
+            if let Some(head) = &head {
+                conn.read_body(head)?;
+            }
+            Ok(head)
+        });
+        matches!(head, Ok(Some(head)) if head.status() == 200)
+    }
+
     pub fn is_ready(&self) -> bool {
         let answer = Conn::connect(self.ready).and_then(|mut conn| {
             let timeout = Some(Duration::from_secs(1));
--- a/review/stand-2/stale_readers.rs
+++ b/review/stand-2/stale_readers.rs
@@ -13,9 +13,9 @@
 use crate::store::{Door, Fault, Store};
 use crate::{Case, Verdict, cannot_run};
 
-/// 6 machines and the 3 spare ones of the site.
-const NODES: u8 = 9;
-const ZONES: [&str; 3] = ["lautoka", "nadi", "ba"];
+/// 7 machines and the 3 spare ones of the site.
+const NODES: u8 = 10;
+const ZONES: [&str; 3] = ["harju-a", "harju-b", "harju-c"];
 const ROUNDS: usize = 10;
 /// How long the store turns nodes away; the pages say 9 s at most.
 const AWAY: Duration = Duration::from_millis(3200);
@@ -96,7 +96,7 @@
         .map(|n| store.open(place.other(50 + n)))
         .collect();
     let site = Site {
-        memory_mb: 110,
+        memory_mb: 260,
         terms: TERMS,
         grace_s: 8,
     };
