--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -7,6 +7,7 @@
 mod idle_channels;
 mod large_bodies;
 mod node;
+mod quota_holders;
 mod record;
 mod runner;
 mod slow_answer;
@@ -58,6 +59,7 @@
         "stale-readers-key" => stale_readers::play(&case_of, stale_readers::What::Key),
         "stale-readers-runner" => stale_readers::play(&case_of, stale_readers::What::Runner),
         "idle-channels" => idle_channels::play(&case_of),
+        "quota-holders" => quota_holders::play(&case_of),
         "slow-answer" => slow_answer::play(&case_of),
         "large-bodies" => large_bodies::play(&case_of),
         other => cannot_run(&format!("there is no case {other}")),
