Log a fingerprint of each request with its end and its failed sends

The fingerprint covers method, path, workspace and body; it is keyed with the nodes' secret, so that callers cannot make one of another workspace's request.

No decision depends on it yet.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::buffers::BufferBudget;
 use crate::connection::ConnectionPool;
 use crate::crash_sync::CrashGuard;
+use crate::fingerprint::Fingerprinter;
 use crate::held_stream::HeldStreams;
 use crate::limits::Limiter;
 use crate::proof::Permit;
@@ -85,6 +86,7 @@
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
     pub crash_guard: Arc<CrashGuard>,
+    pub fingerprinter: Fingerprinter,
     pub rollouts: Arc<Rollouts>,
     pub output_shares: Mutex<IndexMap<CompactString, f64>>,
     /// The largest timeout that callers of each route set, in milliseconds.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod crash_sync;
 mod edge;
 mod events;
+mod fingerprint;
 mod follow;
 mod gateway;
 mod handover;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
 use crate::catalog_sync::CatalogTransfer;
 use crate::connection::ConnectionPool;
 use crate::crash_sync::CrashGuard;
+use crate::fingerprint::Fingerprinter;
 use crate::follow::{FeedReader, NodeList};
 use crate::gateway::{Body, Gateway, MAX_BUFFERED_BYTES};
 use crate::held_stream::{HeldBytes, HeldStreams, memory_share};
@@ -212,6 +213,7 @@
             directory: directory.clone(),
             limiter: limiter.clone(),
             crash_guard: crash_guard.clone(),
+            fingerprinter: Fingerprinter::new(&cfg.secret),
             rollouts: rollouts.clone(),
             output_shares: Mutex::new(IndexMap::new()),
             max_time_left_ms: Mutex::new(IndexMap::new()),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use log::{info, warn};
 use rwd_metrics::label;
-use rwd_placement::{Offer, SlotOutcome, Timestamp};
+use rwd_placement::{Fingerprint, Offer, SlotOutcome, Timestamp};
 use rwd_types::TargetName;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -48,6 +48,7 @@
     pub admitted: Admitted,
     pub parts: request::Parts,
     body: Bytes,
+    fingerprint: Fingerprint,
     exclude: Vec<TargetName>,
     // A slot for failover from an unresponsive target, already charged to the retry budget.
     failover_slot: Option<Slot>,
@@ -116,11 +117,14 @@
         body: Bytes,
         in_progress: InProgress<P>,
     ) -> Self {
+        let workspace = admitted.workspace.as_ref().map(|w| &w.name);
+        let fingerprint = gateway.fingerprinter.of(&parts, workspace, &body);
         Self {
             gateway,
             admitted,
             parts,
             body,
+            fingerprint,
             exclude: Vec::new(),
             failover_slot: None,
             in_flight: false,
@@ -235,7 +239,7 @@
         self.gateway.metrics.ended.add(1, &labels);
         self.gateway.metrics.answer_ms.record(ms, &labels);
         info!(
-            event = "answer", request:% = self.admitted.head.id, outcome, status,
+            event = "answer", request:% = self.admitted.head.id, fingerprint:% = self.fingerprint, outcome, status,
             route:% = self.admitted.route.name, config = self.admitted.catalog.version,
             sends = self.sends, arrivals = self.arrivals, unreachable = self.unreachable,
             ms = ms as u64;
--- a/crates/gateway/src/run/failure.rs
+++ b/crates/gateway/src/run/failure.rs
@@ -105,7 +105,7 @@
             .metrics
             .sends_failed
             .add(1, &[label("kind", what)]);
-        info!(event = "send_failed", request:% = self.admitted.head.id, target:% = dispatch.slot.target, scheduler:% = dispatch.slot.scheduler, what, ms = ms as u64, events = self.events, parts:% = part_ids(&self.admitted.head.parts); "send failed");
+        info!(event = "send_failed", request:% = self.admitted.head.id, fingerprint:% = self.fingerprint, target:% = dispatch.slot.target, scheduler:% = dispatch.slot.scheduler, what, ms = ms as u64, events = self.events, parts:% = part_ids(&self.admitted.head.parts); "send failed");
         dispatch.slot.release(outcome);
         (refusal, permit)
     }
--- a/crates/placement/src/crash_ledger.rs
+++ b/crates/placement/src/crash_ledger.rs
@@ -7,6 +7,7 @@
 //! that sound requests with only some of these parts are not.
 
 use compact_str::CompactString;
+use derive_more::Display;
 use indexmap::{IndexMap, IndexSet};
 use rwd_types::TargetName;
 use serde::{Deserialize, Serialize};
@@ -55,6 +56,13 @@
 /// Maximum parts of a request that are considered.
 const MAX_PARTS: usize = 16;
 
+/// Identifies requests that ask for the same, by method, path, caller and body.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[display("{_0:016x}")]
+pub struct Fingerprint(pub u64);
+
 /// A request whose target crashed. Ages are in milliseconds.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct CrashReport {
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -30,7 +30,9 @@
 mod target;
 
 pub use crate::cache::PromptCache;
-pub use crate::crash_ledger::{BlockNews, CrashLedger, CrashNews, CrashReport, shared_parts};
+pub use crate::crash_ledger::{
+    BlockNews, CrashLedger, CrashNews, CrashReport, Fingerprint, shared_parts,
+};
 pub use crate::handover::{
     BadReport, HeldSlot, MAX_REPORTS, Result as HandoverResult, TargetEstimate, TargetReport,
 };
