--- a/crates/lab/src/site/target.rs
+++ b/crates/lab/src/site/target.rs
@@ -132,6 +132,24 @@
     }
 }
 
+/// What crashes a target.
+#[derive(Clone, Debug)]
+enum Poison {
+    /// It begins to write a response to a prompt with the part of this id.
+    Part(String),
+    /// It begins to work on a request with this header.
+    Header(String),
+}
+
+impl Poison {
+    fn is_in(&self, arrival: &Arrival) -> bool {
+        match self {
+            Self::Part(id) => arrival.has_part(id),
+            Self::Header(name) => arrival.header(name).is_some(),
+        }
+    }
+}
+
 #[derive(Default)]
 struct Shared {
     script: VecDeque<Behaviour>,
@@ -141,8 +159,8 @@
     // Requests on which it works now, and the most at any time.
     running: usize,
     most_running: usize,
-    // The part of a prompt that crashes the target, and how long it is down then.
-    crashes_on: Option<(String, Duration)>,
+    // What crashes the target, and how long it is down then.
+    crashes_on: Option<(Poison, Duration)>,
     // The value of `Server-Limit` in its responses.
     limit: Option<String>,
     // Further headers of its responses.
@@ -236,7 +254,13 @@
     /// Crashes whenever it begins to write a response to a prompt with a part of this id; all of
     /// its connections end, and it is down for `down`.
     pub fn crash_on(&self, part: &str, down: Duration) {
-        lock(&self.shared).crashes_on = Some((part.to_owned(), down));
+        lock(&self.shared).crashes_on = Some((Poison::Part(part.to_owned()), down));
+    }
+
+    /// Crashes whenever it begins to work on a request with this header, before it writes anything; it is
+    /// down for `down`.
+    pub fn crash_on_header(&self, name: &str, down: Duration) {
+        lock(&self.shared).crashes_on = Some((Poison::Header(name.to_owned()), down));
     }
 
     /// Names a limit of requests per second in all responses from now on, or none.
@@ -419,18 +443,17 @@
             let mut named = headers.filter(|(name, _)| name == "X-Incarnation");
             arrival.incarnation = named.next().map(|(_, value)| value.clone());
             shared.arrivals.push(arrival.clone());
-            let crash = shared.crashes_on.as_ref();
-            (
-                behaviour,
-                crash.is_some_and(|(part, _)| arrival.has_part(part)),
-            )
+            let crash = shared.crashes_on.as_ref().map(|(poison, _)| poison);
+            (behaviour, crash.filter(|p| p.is_in(&arrival)).cloned())
         };
         arrived.send_modify(|n| *n += 1);
-        if crashes {
-            // The head and a piece of the first event.
-            let (bytes, _) = response(Behaviour::Unframed, &arrival);
-            let body = bytes.windows(4).position(|w| w == b"\r\n\r\n");
-            tcp.write_all(&bytes[..body.unwrap_or(0) + 9]).await?;
+        if let Some(poison) = crashes {
+            if let Poison::Part(_) = poison {
+                // The head and a piece of the first event.
+                let (bytes, _) = response(Behaviour::Unframed, &arrival);
+                let body = bytes.windows(4).position(|w| w == b"\r\n\r\n");
+                tcp.write_all(&bytes[..body.unwrap_or(0) + 9]).await?;
+            }
             process.crashes.send_modify(|n| *n += 1);
             return Ok(());
         }
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod nodes;
 mod odd_records;
 mod raw_target;
+mod repeated_crashes;
 mod requests;
 mod restore_storms;
 mod restored_store;
