Block requests that crash each target that begins to run them

Cause: the ledger of crashes knew parts of prompts alone. Requests of services without prompts were not recorded at all, so each repeat was placed like a new request.

Logs now name the fingerprint of each request.

The fix: one ledger for both. A request's fingerprint is a feature beside the parts of its prompt; three crashes that no completion at any node follows block it. Where the evidence fits several requests, they are tried one at a time by one node.

--- a/crates/gateway/src/crash_sync.rs
+++ b/crates/gateway/src/crash_sync.rs
@@ -1,6 +1,6 @@
-//! Shares what the nodes know about prompts that crash targets.
+//! Shares what the nodes know about requests that crash targets.
 //!
-//! Requests with such a prompt arrive at any node, and each node sees only the
+//! Such requests arrive at any node, and each node sees only the
 //! crashes under its own requests. News are pushed from node to node like rumours;
 //! once a second each node that knows anything also compares all it knows with a
 //! random one, so that nodes that join or were cut off catch up (anti-entropy, as in
@@ -8,9 +8,9 @@
 
 use log::{debug, info, warn};
 use rand::seq::IteratorRandom;
-use rwd_peer::{Directory, Error, Exchange, Links};
+use rwd_peer::{Directory, Error, Exchange, Links, first_by_cpu};
 use rwd_placement::{
-    BlockNews, CrashLedger, CrashNews, CrashReport, PromptPart, Timestamp, shared_parts,
+    Admission, BlockNews, CrashLedger, CrashNews, CrashReport, Feature, Fingerprint, Timestamp,
 };
 use rwd_timer::Timer;
 use rwd_types::{InstanceName, TargetName};
@@ -28,12 +28,16 @@
 const FANOUT: usize = 3;
 /// How long news are collected before they are pushed.
 const BATCH_PERIOD: Duration = Duration::from_millis(50);
-/// Period of assessing the crashes and of comparing with another node.
+/// Period of comparing with another node.
 const COMPARE_PERIOD: Duration = Duration::from_secs(1);
+/// Period of assessing the crashes: these count once they have settled.
+const ASSESS_PERIOD: Duration = Duration::from_millis(250);
 /// Timeout of a write to the store.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause before blocks are written again that could not be written.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
+/// Rendezvous key of the node that tries requests after their blocks.
+const TRIALS_KEY: u64 = 0x7472_6961_6c73;
 /// How long a node may take to reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -46,7 +50,19 @@
     unwritten: Vec<BlockNews>,
 }
 
-/// One node's knowledge of prompts that crash targets.
+/// A request that shows whether those like it still crash targets; the trial lasts until this is dropped.
+pub(crate) struct Trial {
+    guard: Arc<CrashGuard>,
+    set: Vec<Feature>,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.guard.lock().ledger.end_trial(&self.set);
+    }
+}
+
+/// One node's knowledge of requests that crash targets.
 pub(crate) struct CrashGuard {
     directory: Arc<Directory>,
     links: Arc<Links>,
@@ -72,9 +88,40 @@
         self.inner.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Whether requests with such a prompt are blocked, because they crash targets.
-    pub fn is_blocked(&self, parts: &[PromptPart]) -> bool {
-        self.lock().ledger.is_blocked(parts, clock::now())
+    /// Whether a request may be sent; if not, the time until it may be tried, in milliseconds. `trial` is
+    /// that of the request, if it is sent to try a target.
+    pub fn admit(
+        self: &Arc<Self>,
+        features: &[Feature],
+        trial: &mut Option<Trial>,
+    ) -> std::result::Result<(), f64> {
+        let mut inner = self.lock();
+        let admission = inner
+            .ledger
+            .admit(features, || self.tries_requests(), clock::now());
+        match admission {
+            Admission::Free => Ok(()),
+            // This request is the trial.
+            Admission::Blocked { left_ms } if left_ms == 0.0 && trial.is_some() => Ok(()),
+            Admission::Blocked { left_ms } => Err(left_ms),
+            Admission::Trial(set) => {
+                info!(event = "block_tried", features = names(&set); "sending one request to see whether it still crashes targets");
+                // An earlier trial locks it as it ends.
+                drop(inner);
+                *trial = Some(Trial {
+                    guard: self.clone(),
+                    set,
+                });
+                Ok(())
+            }
+        }
+    }
+
+    // Whether this node is the one that tries requests after their blocks.
+    fn tries_requests(&self) -> bool {
+        let view = self.directory.view();
+        let own = self.directory.own().name;
+        first_by_cpu(TRIALS_KEY, view.candidates()).is_some_and(|m| m.name == own)
     }
 
     /// Records that a target crashed while it worked on a request.
@@ -82,31 +129,36 @@
         &self,
         target: &TargetName,
         request: &str,
-        parts: &[PromptPart],
+        features: &[Feature],
         dispatched: Timestamp,
     ) {
         let now = clock::now();
         let report = CrashReport {
             target: target.clone(),
             request: request.into(),
-            parts: shared_parts(parts),
+            features: features.to_vec(),
             dispatched_ms: now - dispatched,
             crashed_ms: 0.0,
         };
-        let mut inner = self.lock();
-        if inner.ledger.record_crash(&report, now) {
+        {
+            let mut inner = self.lock();
+            if !inner.ledger.record_crash(&report, now) {
+                return;
+            }
             inner.fresh.crashes.push(report);
-            self.has_news.notify_one();
         }
+        self.has_news.notify_one();
+        // A trial has failed before the next one begins.
+        self.assess();
     }
 
     /// Records that a request, dispatched at `dispatched`, completed.
-    pub fn record_complete(&self, parts: &[PromptPart], dispatched: Timestamp) {
+    pub fn record_complete(&self, features: &[Feature], dispatched: Timestamp) {
         let mut inner = self.lock();
-        let cleared = inner.ledger.record_complete(parts, dispatched);
+        let cleared = inner.ledger.record_complete(features, dispatched);
         if !cleared.is_empty() {
             let now = clock::now();
-            let cleared = cleared.into_iter().map(|(part, t)| (part, now - t));
+            let cleared = cleared.into_iter().map(|(feature, t)| (feature, now - t));
             inner.fresh.sound.extend(cleared);
             self.has_news.notify_one();
         }
@@ -116,7 +168,7 @@
     pub fn restore(&self, blocks: Vec<StoredBlock>) {
         let now = clock::now();
         let blocked = blocks.into_iter().map(|b| BlockNews {
-            set: b.set,
+            set: stored_set(&b),
             first_crash_ms: self.unix.age_ms(b.first_crash_ms, now),
             since_ms: self.unix.age_ms(b.since_ms, now),
             lasts_ms: b.lasts_ms,
@@ -138,7 +190,8 @@
         for b in blocks {
             let now = clock::now();
             let stored = StoredBlock {
-                set: b.set.clone(),
+                set: b.set.iter().filter_map(part).collect(),
+                requests: b.set.iter().filter_map(request).collect(),
                 first_crash_ms: self.unix.unix_ms(b.first_crash_ms, now),
                 since_ms: self.unix.unix_ms(b.since_ms, now),
                 lasts_ms: b.lasts_ms,
@@ -190,6 +243,7 @@
     /// Spreads news and assesses crashes, until the task is dropped.
     pub async fn run(self: Arc<Self>, timer: Timer) {
         let mut ticks = timer.every(COMPARE_PERIOD);
+        let mut assessments = timer.every(ASSESS_PERIOD);
         let mut exchanges = JoinSet::new();
         // A node that starts knows nothing until it has compared.
         let mut compared = false;
@@ -203,8 +257,8 @@
                         exchanges.spawn(self.clone().exchange(peer, news.clone()));
                     }
                 }
+                () = assessments.tick() => self.assess(),
                 () = ticks.tick() => {
-                    self.assess();
                     let knows_any = self.lock().ledger.digest() != 0;
                     let peers = match knows_any || !compared {
                         true => self.random_peers(1),
@@ -227,7 +281,14 @@
         let mut inner = self.lock();
         let blocked = inner.ledger.assess(now);
         for b in &blocked {
-            warn!(event = "prompt_blocked", parts = hex(&b.set), lasts_ms = b.lasts_ms; "targets keep crashing under prompts with these parts; blocking them");
+            match b.lasts_ms {
+                0.0 => {
+                    info!(event = "request_suspected", features = names(&b.set); "targets crashed one after the other under this request")
+                }
+                lasts_ms => {
+                    warn!(event = "prompt_blocked", parts = names(&b.set), lasts_ms; "targets keep crashing under requests with these features; blocking them")
+                }
+            }
         }
         if !blocked.is_empty() {
             inner.unwritten.extend(blocked.iter().cloned());
@@ -279,7 +340,7 @@
         let mut inner = self.lock();
         let fresh = inner.ledger.merge(news, clock::now());
         for b in &fresh.blocked {
-            info!(event = "prompt_blocked", parts = hex(&b.set), lasts_ms = b.lasts_ms; "blocking prompts with these parts, as other nodes do");
+            info!(event = "prompt_blocked", parts = names(&b.set), lasts_ms = b.lasts_ms; "blocking requests with these features, as other nodes do");
         }
         if !fresh.is_empty() {
             inner.fresh.sound.extend(fresh.sound);
@@ -317,7 +378,29 @@
     }
 }
 
-fn hex(parts: &[u64]) -> String {
-    let ids: Vec<_> = parts.iter().map(|p| format!("{p:x}")).collect();
-    ids.join(",")
+// The features of a set, for logs.
+fn names(set: &[Feature]) -> String {
+    let names: Vec<_> = set.iter().map(Feature::to_string).collect();
+    names.join(",")
+}
+
+fn part(feature: &Feature) -> Option<u64> {
+    match feature {
+        Feature::Part(id) => Some(*id),
+        Feature::Request(_) => None,
+    }
+}
+
+fn request(feature: &Feature) -> Option<u64> {
+    match feature {
+        Feature::Part(_) => None,
+        Feature::Request(fingerprint) => Some(fingerprint.0),
+    }
+}
+
+fn stored_set(block: &StoredBlock) -> Vec<Feature> {
+    let parts = block.set.iter().map(|id| Feature::Part(*id));
+    let requests = block.requests.iter();
+    let requests = requests.map(|id| Feature::Request(Fingerprint(*id)));
+    parts.chain(requests).collect()
 }
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -197,17 +197,20 @@
     pub cpu_milli: u32,
 }
 
-/// Prompts that are blocked because they crash targets, as the store keeps them in case that all
+/// Requests that are blocked because they crash targets, as the store keeps them in case that all
 /// nodes are lost.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StoredBlock {
-    /// Prompts with all of these parts are blocked.
+    /// The parts of prompts that blocked requests have in common.
     pub set: Vec<u64>,
+    /// The fingerprints that they have in common.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub requests: Vec<u64>,
     /// When the first of the crashes occurred that led to it, in Unix milliseconds.
     pub first_crash_ms: f64,
     /// When it began, in Unix milliseconds.
     pub since_ms: f64,
-    /// How long it lasts, in milliseconds.
+    /// How long it lasts, in milliseconds; zero if requests are only suspected.
     pub lasts_ms: f64,
 }
 
@@ -220,7 +223,7 @@
     Target(TargetName, Option<TargetEntry>),
     /// A node of the gateway.
     Node(ListedNode),
-    /// Prompts that are blocked.
+    /// Requests that are blocked.
     Block(StoredBlock),
     /// An operator's order of a roll-out; `None` if it was withdrawn.
     Rollout(PoolName, Option<RolloutOrder>),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -11,8 +11,8 @@
 /// Retry-after time when no better estimate is known, in milliseconds.
 const RETRY_AFTER_MS: f64 = 500.0;
 
-/// Retry-after time of requests that are blocked or never fit, in milliseconds; they will be for minutes.
-const BLOCKED_RETRY_AFTER_MS: f64 = 30_000.0;
+/// Retry-after time of requests that never fit, in milliseconds.
+const TOO_LARGE_RETRY_AFTER_MS: f64 = 30_000.0;
 
 /// Why a request gets no response from a target.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
@@ -53,9 +53,12 @@
         /// Time until the first one may get requests again, in milliseconds.
         retry_after_ms: f64,
     },
-    /// Prompts like that of the request crash targets.
+    /// Requests like this one crash targets.
     #[display("crashes-targets")]
-    CrashesTargets,
+    CrashesTargets {
+        /// Retry-after time for the caller, in milliseconds.
+        retry_after_ms: f64,
+    },
     /// The prompt and the longest response exceed the memory of any target.
     #[display("exceeds-memory")]
     ExceedsMemory,
@@ -82,7 +85,7 @@
             | Self::Leaving
             | Self::Overload { .. }
             | Self::Held { .. }
-            | Self::CrashesTargets
+            | Self::CrashesTargets { .. }
             | Self::ExceedsMemory
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -101,10 +104,11 @@
         match self {
             Self::OverQuota { retry_after_ms }
             | Self::Overload { retry_after_ms }
-            | Self::Held { retry_after_ms } => Some(retry_after_ms),
+            | Self::Held { retry_after_ms }
+            | Self::CrashesTargets { retry_after_ms } => Some(retry_after_ms),
             // Another node accepts the request immediately.
             Self::Leaving => Some(0.0),
-            Self::CrashesTargets | Self::ExceedsMemory => Some(BLOCKED_RETRY_AFTER_MS),
+            Self::ExceedsMemory => Some(TOO_LARGE_RETRY_AFTER_MS),
             Self::Stale | Self::NotRun => Some(RETRY_AFTER_MS),
             _ => None,
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use log::{info, warn};
 use rwd_metrics::label;
-use rwd_placement::{Fingerprint, Offer, SlotOutcome, Timestamp};
+use rwd_placement::{Feature, Fingerprint, Offer, SlotOutcome, Timestamp, features};
 use rwd_types::TargetName;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::connection::{ConnectError, Reuse, SendResult};
+use crate::crash_sync::Trial;
 use crate::gateway::{Admitted, Body, Gateway, InProgress};
 use crate::proof::{Permit, Proof, Reason};
 use crate::refusal::Refusal;
@@ -30,6 +31,10 @@
 
 /// Minimum time left for which a request is still dispatched, in milliseconds.
 const MIN_DISPATCH_MS: f64 = 25.0;
+/// Shortest retry-after time of requests that are blocked because they crash targets, in milliseconds.
+const MIN_BLOCKED_RETRY_MS: f64 = 500.0;
+/// Longest retry-after time of these, in milliseconds.
+const MAX_BLOCKED_RETRY_MS: f64 = 30_000.0;
 /// First-byte timeout of a target, as a multiple of the expected time to first byte.
 const FIRST_BYTE_TIMEOUT_FACTOR: f64 = 3.0;
 /// Minimum first-byte timeout, in milliseconds.
@@ -49,6 +54,10 @@
     pub parts: request::Parts,
     body: Bytes,
     fingerprint: Fingerprint,
+    // What it may have in common with requests that crash targets.
+    features: Vec<Feature>,
+    // Set if it is sent to see whether it still crashes targets.
+    trial: Option<Trial>,
     exclude: Vec<TargetName>,
     // A slot for failover from an unresponsive target, already charged to the retry budget.
     failover_slot: Option<Slot>,
@@ -83,6 +92,8 @@
     Draining(Permit),
     /// Nothing was sent, because of what the target's responses said.
     Withheld(Withheld, Permit),
+    /// Nothing was sent, because requests like this one crash targets.
+    Blocked(Refusal),
     /// The target has not run the request.
     NotRun(SlotOutcome, Proof),
     /// A refusal that may not be the response to the request, which may have run.
@@ -119,12 +130,15 @@
     ) -> Self {
         let workspace = admitted.workspace.as_ref().map(|w| &w.name);
         let fingerprint = gateway.fingerprinter.of(&parts, workspace, &body);
+        let features = features(&admitted.head.parts, fingerprint);
         Self {
             gateway,
             admitted,
             parts,
             body,
             fingerprint,
+            features,
+            trial: None,
             exclude: Vec::new(),
             failover_slot: None,
             in_flight: false,
@@ -350,18 +364,18 @@
         self.gateway.withheld.check(target, dispatch.born, now)
     }
 
-    fn check_blocked(&self) -> Result<(), Refusal> {
-        let parts = &self.admitted.head.parts;
-        match self.gateway.crash_guard.is_blocked(parts) {
-            true => Err(Refusal::CrashesTargets),
-            false => Ok(()),
-        }
+    fn check_blocked(&mut self) -> Result<(), Refusal> {
+        let guard = &self.gateway.crash_guard;
+        let admitted = guard.admit(&self.features, &mut self.trial);
+        admitted.map_err(|left_ms| Refusal::CrashesTargets {
+            retry_after_ms: left_ms.clamp(MIN_BLOCKED_RETRY_MS, MAX_BLOCKED_RETRY_MS),
+        })
     }
 
     /// Records that the current target, to which the request was sent at `sent`, completed it.
     pub fn record_sound(&self, sent: Timestamp) {
-        let parts = &self.admitted.head.parts;
-        self.gateway.crash_guard.record_complete(parts, sent);
+        let guard = &self.gateway.crash_guard;
+        guard.record_complete(&self.features, sent);
     }
 
     async fn acquire_slot(&self, left_ms: f64) -> Result<Slot, Refusal> {
@@ -498,6 +512,10 @@
             if left_ms < MIN_DISPATCH_MS {
                 return Attempt::Unreachable(permit);
             }
+            // It may have been blocked while it waited for the connection.
+            if let Err(refusal) = self.check_blocked() {
+                return Attempt::Blocked(refusal);
+            }
             let req = self.target_request(&dispatch.slot, left_ms, last_event);
             self.record_second_send(&permit, &target);
             let same_address = self.addresses.contains(&address);
--- a/crates/gateway/src/run/failure.rs
+++ b/crates/gateway/src/run/failure.rs
@@ -25,10 +25,10 @@
     fn record_crash(&self, dispatch: &Dispatch) {
         let head = &self.admitted.head;
         let wrote_ms = self.writing_since.map_or(0.0, |since| clock::now() - since);
-        if wrote_ms < MAX_CRASHING_MS && head.parts.len() > 1 {
+        if wrote_ms < MAX_CRASHING_MS {
             let (target, sent) = (&dispatch.slot.target, dispatch.sent);
             let guard = &self.gateway.crash_guard;
-            guard.record_crash(target, &head.id, &head.parts, sent);
+            guard.record_crash(target, &head.id, &self.features, sent);
         }
     }
 
@@ -77,6 +77,7 @@
                 let permit = Some(permit).filter(|_| self.withheld < MAX_WITHHELD);
                 (outcome, Refusal::NotRun, "withheld", permit)
             }
+            Attempt::Blocked(refusal) => (SlotOutcome::Unused, refusal, "blocked", None),
             Attempt::NotRun(outcome, proof) => {
                 self.arrivals += 1;
                 self.refusals += 1;
--- a/crates/lab/src/site/caller.rs
+++ b/crates/lab/src/site/caller.rs
@@ -42,6 +42,12 @@
         self.headers.push((name, value.to_owned()));
         self
     }
+
+    /// The request with this body.
+    pub fn with_body(self, body: &str) -> Self {
+        let body = Bytes::from(body.to_owned());
+        Self { body, ..self }
+    }
 }
 
 /// What the caller received.
--- a/crates/lab/tests/gateway/crashing_prompts.rs
+++ b/crates/lab/tests/gateway/crashing_prompts.rs
@@ -28,7 +28,9 @@
 fn prompt(path: &str, id: &str, middle: &[String]) -> Call {
     let middle: String = middle.iter().map(|p| format!("{p}:100,")).collect();
     let prefix = format!("aaa:60,{middle}{:x}:50", 0xf000_0000_u64 + number(id));
+    // Other prompts are other requests.
     post(path, id)
+        .with_body(id)
         .header("prompt-prefix", &prefix)
         .header("token-count", "400,8")
         .header("model", "m")
--- a/crates/lab/tests/gateway/restored_store.rs
+++ b/crates/lab/tests/gateway/restored_store.rs
@@ -246,7 +246,9 @@
         target.crash_on("bad0", Duration::from_millis(700));
     }
     let prompt = |n: u64| {
+        // Other prompts are other requests.
         post("/once/a", &format!("x{n}"))
+            .with_body(&n.to_string())
             .header(
                 "prompt-prefix",
                 &format!("aaa:60,bad0:100,{:x}:50", 0xf000_0000_u64 + n),
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use crate::cache::PromptCache;
 pub use crate::crash_ledger::{
-    BlockNews, CrashLedger, CrashNews, CrashReport, Fingerprint, shared_parts,
+    Admission, BlockNews, CrashLedger, CrashNews, CrashReport, Feature, Fingerprint, features,
 };
 pub use crate::handover::{
     BadReport, HeldSlot, MAX_REPORTS, Result as HandoverResult, TargetEstimate, TargetReport,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 /// Version of the protocol; nodes of different versions refuse to connect.
-pub const VERSION: u16 = 9;
+pub const VERSION: u16 = 10;
 /// Length of a handshake nonce, in bytes.
 pub const NONCE_BYTES: usize = 16;
 
