--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -39,6 +39,8 @@
     pub key: Option<CompactString>,
     /// Id of the last event that the caller received of an interrupted stream.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of that stream, if the caller names it.
+    pub resumes: Option<CompactString>,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u32,
     /// Maximum length of the response, in tokens.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -336,8 +336,11 @@
             .slot_wait_ms
             .record(sent - requested_at, &[]);
         self.record_spill(&dispatch.slot);
+        let version = self.gateway.replica.target_version(&dispatch.slot.target);
         info!(
             event = "dispatch", request:% = self.admitted.head.id, target:% = dispatch.slot.target,
+            version = version.as_ref().map_or("", |(v, _)| v.as_str()),
+            resumes:? = self.admitted.head.resumes,
             scheduler:% = dispatch.slot.scheduler, waited_ms = (sent - requested_at) as u64,
             expected_ms = dispatch.slot.first_ms as u64, after:? = last_event,
             arrivals = self.arrivals, may_repeat = self.may_repeat(),
