--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod handover;
 mod helper;
 mod idle_connections;
+mod joined_versions;
 mod large_configuration;
 mod late_refusals;
 mod nodes;
