--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -7,7 +7,8 @@
 use compact_str::CompactString;
 use derive_more::{Display, Error, From};
 use http::{HeaderMap, request, response};
-use rwd_placement::{PromptPart, RolloutOrder, StatusRecord, TargetEntry};
+use indexmap::IndexMap;
+use rwd_placement::{PromptPart, RolloutOrder, StatusRecord, TargetEntry, Version};
 use rwd_types::{
     PoolName, RateError, RegionName, RequestRate, StoreEra, TargetName, WorkspaceName, ZoneName,
 };
@@ -179,9 +180,12 @@
     /// The registry of targets.
     #[display("targets")]
     Targets,
-    /// The nodes of the gateway, and the prompts that they block.
+    /// The nodes of the gateway, the requests that they block, and the versions that have served.
     #[display("nodes")]
     Nodes,
+    /// Streams that began while targets of several versions served.
+    #[display("streams")]
+    Streams,
     /// The states of roll-outs, written by the gateway.
     #[display("roll-outs")]
     Rollouts,
@@ -216,6 +220,34 @@
     pub lasts_ms: f64,
 }
 
+/// The versions that have served a pool, as the store keeps them in case that all nodes are lost.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StoredVersions {
+    /// The pool.
+    pub pool: PoolName,
+    /// The versions.
+    pub versions: Vec<StoredVersion>,
+}
+
+/// A version that has served a pool.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StoredVersion {
+    /// The version.
+    pub version: Version,
+    /// When a target of it was last listed, in Unix milliseconds; none if one was when this was written.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub last_ms: Option<f64>,
+}
+
+/// Streams that have begun, as the store keeps them in case that all nodes are lost.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StoredStreams {
+    /// When this was written, in Unix milliseconds.
+    pub at_ms: f64,
+    /// The keys of the streams by the version that began them.
+    pub streams: IndexMap<Version, Vec<u64>>,
+}
+
 /// One record of a feed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
@@ -227,6 +259,10 @@
     Node(ListedNode),
     /// Requests that are blocked.
     Block(StoredBlock),
+    /// The versions that have served a pool.
+    Versions(StoredVersions),
+    /// Streams that have begun.
+    Streams(StoredStreams),
     /// An operator's order of a roll-out; `None` if it was withdrawn.
     Rollout(PoolName, Option<RolloutOrder>),
     /// An order of a roll-out that cannot be parsed; the one before holds.
@@ -309,6 +345,22 @@
         timeout: Duration,
     ) -> impl Future<Output = Result<(), StoreError>> + Send;
 
+    /// Adds the versions of a pool to those that starting nodes read with the list of nodes.
+    fn record_versions(
+        &self,
+        versions: &StoredVersions,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Writes streams as record `slot` of the node at `peer`, in place of what it wrote there before.
+    fn record_streams(
+        &self,
+        peer: SocketAddr,
+        slot: u64,
+        streams: &StoredStreams,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
     /// Writes the state of a pool's roll-out if the log of [`Feed::Rollouts`] still ends at `at`. Returns
     /// whether it did.
     fn record_rollout(
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,6 +19,7 @@
     CALL_TIMEOUT, CONFIG_WAIT, CONFIRM_WAIT, MAX_PAUSE, MIN_PAUSE, REPEATED_CALLS, SyncTiming,
     TARGETS_PERIOD,
 };
+use crate::stream_sync::StreamSync;
 use crate::{
     Feed, GatewaySettings, ListedNode, Position, Record, Store, StoreError, StoreReplica, clock,
 };
@@ -304,6 +305,7 @@
     pub directory: Arc<Directory>,
     pub limiter: Arc<Limiter>,
     pub crash_guard: Arc<CrashGuard>,
+    pub streams: Arc<StreamSync>,
     /// Whether the list has been read.
     pub has_list: watch::Sender<bool>,
 }
@@ -362,11 +364,12 @@
                 return;
             }
         };
-        let (mut nodes, mut blocks) = (Vec::new(), Vec::new());
+        let (mut nodes, mut blocks, mut versions) = (Vec::new(), Vec::new(), Vec::new());
         for record in batch.records {
             match record {
                 Record::Node(node) => nodes.push(node),
                 Record::Block(block) => blocks.push(block),
+                Record::Versions(of_pool) => versions.push(of_pool),
                 Record::Unreadable { key, reason } => {
                     warn!(event = "nodes", key:%, reason:%; "unreadable entry");
                 }
@@ -374,6 +377,7 @@
             }
         }
         self.crash_guard.restore(blocks);
+        self.streams.restore_versions(versions);
         for known in seeds.iter().chain([own]) {
             if nodes.iter().all(|n| n.peer != known.peer) {
                 nodes.push(known.clone());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,6 +32,7 @@
 use crate::run::ActiveRequest;
 use crate::slots::Slots;
 use crate::stop::Admission;
+use crate::stream_sync::StreamSync;
 use crate::{
     Catalog, Protocol, RequestHead, Route, StoreReplica, WithheldTargets, Workspace, clock,
 };
@@ -87,6 +88,7 @@
     pub limiter: Arc<Limiter>,
     pub crash_guard: Arc<CrashGuard>,
     pub fingerprinter: Fingerprinter,
+    pub streams: Arc<StreamSync>,
     pub rollouts: Arc<Rollouts>,
     pub output_shares: Mutex<IndexMap<CompactString, f64>>,
     /// The largest timeout that callers of each route set, in milliseconds.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod source;
 mod stop;
 mod store_sync;
+mod stream_sync;
 mod withheld;
 
 pub use crate::backlog::{Backlog, ReaderId, Verdict};
@@ -48,7 +49,8 @@
 pub use crate::clock::UnixClock;
 pub use crate::edge::{
     BadHeader, BadRequest, Batch, Feed, ListedNode, Lookup, Position, Protocol, Record,
-    RequestHead, Store, StoreError, StoredBlock, TargetRequestHead, TargetResponseHead,
+    RequestHead, Store, StoreError, StoredBlock, StoredStreams, StoredVersion, StoredVersions,
+    TargetRequestHead, TargetResponseHead,
 };
 pub use crate::events::{Event, EventBuffer, EventError};
 pub use crate::gateway::{Aborted, Body};
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -46,6 +46,7 @@
 use crate::source::Sources;
 use crate::stop::{Admission, ShutdownPlan};
 use crate::store_sync::Follower;
+use crate::stream_sync::{self, StreamSync};
 use crate::{
     Bounds, GatewaySettings, Limits, Lookup, Protocol, Store, StoreError, StoreReplica,
     WithheldTargets, catalog_sync, clock, follow, handover, store_sync,
@@ -114,6 +115,7 @@
 pub struct GatewayNode {
     cfg: GatewaySettings,
     held_streams: Option<Arc<HeldStreams>>,
+    untold_streams: watch::Receiver<usize>,
     directory: Arc<Directory>,
     membership: Arc<Membership>,
     replica: Arc<StoreReplica>,
@@ -199,6 +201,15 @@
         ));
         let held_streams = cfg.memory_mb.filter(|_| cfg.holds_streams);
         let held_streams = held_streams.map(|mb| HeldStreams::new(mb, metrics.clone()));
+        let store = Arc::new(store);
+        let streams = Arc::new(StreamSync::new(
+            instance.clone(),
+            cfg.node_entry().peer,
+            directory.clone(),
+            links.clone(),
+            replica.clone(),
+            stream_sync::read_streams(store.clone()),
+        ));
         let gateway = Arc::new(Gateway {
             protocol,
             instance,
@@ -214,6 +225,7 @@
             limiter: limiter.clone(),
             crash_guard: crash_guard.clone(),
             fingerprinter: Fingerprinter::new(&cfg.secret),
+            streams: streams.clone(),
             rollouts: rollouts.clone(),
             output_shares: Mutex::new(IndexMap::new()),
             max_time_left_ms: Mutex::new(IndexMap::new()),
@@ -228,13 +240,13 @@
             region: cfg.region.clone(),
             stop: stop.subscribe(),
         });
-        let store = Arc::new(store);
         let mut tasks = JoinSet::new();
         let reads = watch::Sender::new(false);
         let fresher_peer = watch::Sender::new(None);
         let has_list = watch::Sender::new(false);
         let watch_reads = || reads.subscribe();
         let (store_for_blocks, reads_for_blocks) = (store.clone(), watch_reads());
+        let reads_for_versions = watch_reads();
         let store_for_rollouts = store.clone();
         let feed_reader = || FeedReader {
             store: store.clone(),
@@ -278,6 +290,14 @@
             }
             .boxed()
         });
+        tasks.spawn(streams.clone().tell(timer.clone()));
+        tasks.spawn(streams.clone().write_streams(store.clone(), timer.clone()));
+        tasks.spawn(streams.clone().write_versions(
+            store.clone(),
+            reads_for_versions,
+            timer.clone(),
+        ));
+        let untold_streams = streams.pending();
         let node_list = NodeList {
             store,
             cfg: cfg.clone(),
@@ -285,6 +305,7 @@
             directory: directory.clone(),
             limiter: limiter.clone(),
             crash_guard: crash_guard.clone(),
+            streams: streams.clone(),
             has_list,
         };
         tasks.spawn(node_list.run(timer.clone()));
@@ -324,6 +345,7 @@
             slots,
             limiter,
             crash_guard,
+            streams,
             rollouts,
             replica: replica.clone(),
             fresher_peer,
@@ -379,6 +401,7 @@
         Ok(Self {
             cfg,
             held_streams,
+            untold_streams,
             directory,
             membership,
             replica,
@@ -417,6 +440,12 @@
         self.held_streams.as_ref().map(|h| h.usage())
     }
 
+    /// Waits until other nodes, and the store, know which versions began the streams of this node, while there
+    /// are several; returns whether they do within `limit`.
+    pub async fn await_streams_told(&self, limit: Duration) -> bool {
+        stream_sync::await_told(self.untold_streams.clone(), limit).await
+    }
+
     /// The local replica of the store.
     pub fn replica(&self) -> &StoreReplica {
         &self.replica
@@ -563,6 +592,7 @@
     slots: Arc<Slots>,
     limiter: Arc<Limiter>,
     crash_guard: Arc<CrashGuard>,
+    streams: Arc<StreamSync>,
     rollouts: Arc<Rollouts>,
     replica: Arc<StoreReplica>,
     /// A node that was seen to have a fresher list of targets.
@@ -616,6 +646,8 @@
                 catalog_sync::serve_part(&self.replica, version, part, ex).await
             }
             Message::Crashes { digest, news } => self.crash_guard.serve(digest, *news, ex).await,
+            Message::Streams(streams) => self.streams.serve_streams(streams, ex).await,
+            Message::AskStream(key) => self.streams.serve_ask(key, ex).await,
             Message::Demand {
                 workspace,
                 units,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -59,6 +59,12 @@
         /// Retry-after time for the caller, in milliseconds.
         retry_after_ms: f64,
     },
+    /// The caller takes up a stream, and nothing tells which version of a target's software began it.
+    #[display("unknown-origin")]
+    UnknownOrigin,
+    /// The caller takes up a stream of a version that no target has any more.
+    #[display("version-left")]
+    VersionLeft,
     /// The prompt and the longest response exceed the memory of any target.
     #[display("exceeds-memory")]
     ExceedsMemory,
@@ -86,6 +92,8 @@
             | Self::Overload { .. }
             | Self::Held { .. }
             | Self::CrashesTargets { .. }
+            | Self::UnknownOrigin
+            | Self::VersionLeft
             | Self::ExceedsMemory
             | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -109,7 +117,9 @@
             // Another node accepts the request immediately.
             Self::Leaving => Some(0.0),
             Self::ExceedsMemory => Some(TOO_LARGE_RETRY_AFTER_MS),
-            Self::Stale | Self::NotRun => Some(RETRY_AFTER_MS),
+            Self::Stale | Self::NotRun | Self::UnknownOrigin | Self::VersionLeft => {
+                Some(RETRY_AFTER_MS)
+            }
             _ => None,
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body as HttpBody, Frame};
 use log::info;
-use rwd_placement::{SlotOutcome, Timestamp};
+use rwd_placement::{SlotOutcome, Timestamp, Version};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use tokio::sync::mpsc;
@@ -32,6 +32,8 @@
     pub sent: Timestamp,
     /// Start time of the target's process.
     pub born: u64,
+    /// Version of its software.
+    pub version: Version,
 }
 
 /// Where a caller's events go.
@@ -164,7 +166,7 @@
 
     async fn relay_all(&mut self, mut slot: Slot, mut started: StartedStream) -> Ended {
         loop {
-            let (sent, born) = (started.sent, started.born);
+            let (sent, born, version) = (started.sent, started.born, started.version.clone());
             match self.relay_target(slot, started).await {
                 Ok(ended) => return ended,
                 Err((failed, attempt)) => {
@@ -172,6 +174,7 @@
                         slot: failed,
                         sent,
                         born,
+                        version,
                     };
                     let (_, permit) = self.request.record_failure(dispatch, attempt);
                     if self.request.is_expired() {
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -1,8 +1,10 @@
 //! Local replica of the store's configuration and target registry, with the age of each.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use log::{info, warn};
-use rwd_placement::{RolloutOrder, Stage, TargetEntry, Timestamp, Version};
+use rwd_placement::{
+    RolloutOrder, ServedVersion, ServedVersions, Stage, TargetEntry, Timestamp, Version,
+};
 use rwd_types::{PoolName, StoreEra, TargetName};
 use rwd_wire::{KnownOrder, StoreAccess, StoreCursor, StoreUpdate};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -67,6 +69,9 @@
     change: u64,
     // Orders of roll-outs; none if these are switched off.
     orders: Option<Orders>,
+    // The versions that have served each pool, and whether this node knows all of them.
+    served: ServedVersions,
+    knows_served: bool,
     // Whether this node reads the store, and the feeds whose reads fail.
     reads: bool,
     failing: Vec<Feed>,
@@ -144,6 +149,62 @@
         orders.map_or(Vec::new(), |o| o.list(clock::now()))
     }
 
+    /// Records versions that have served, as the store or another node knows them.
+    pub fn learn_served(&self, served: &[ServedVersion]) {
+        let mut inner = self.lock();
+        let first = !inner.knows_served;
+        inner.knows_served = true;
+        if inner.served.merge(served, clock::now()) || first {
+            inner.change += 1;
+            drop(inner);
+            self.notify();
+        }
+    }
+
+    /// Whether this node knows all versions that have served lately: it has asked the store or another
+    /// node, or has run for long enough.
+    pub fn knows_served(&self) -> bool {
+        self.lock().knows_served
+    }
+
+    /// The versions that have served lately, unless this node may not know all of them.
+    pub fn served_versions(&self) -> Option<Vec<ServedVersion>> {
+        let now = clock::now();
+        let mut inner = self.lock();
+        inner.observe_versions(now);
+        inner.knows_served.then(|| inner.served.news(now))
+    }
+
+    /// The versions of listed targets, by pool.
+    pub fn listed_versions(&self) -> IndexMap<PoolName, IndexSet<Version>> {
+        let inner = self.lock();
+        let mut listed: IndexMap<PoolName, IndexSet<Version>> = IndexMap::new();
+        for entry in inner.targets.values() {
+            let versions = listed.entry(entry.pool.clone()).or_default();
+            versions.insert(entry.version.clone());
+        }
+        listed
+    }
+
+    /// The only version of a pool that may have begun streams which can be taken up, if there is one.
+    pub fn sole_version(&self, pool: &PoolName) -> Option<Version> {
+        let now = clock::now();
+        let mut inner = self.lock();
+        inner.observe_versions(now);
+        let sole = inner.served.sole(pool, now).cloned();
+        sole.filter(|_| inner.knows_served)
+    }
+
+    /// The pools of which targets of several versions serve, or served lately.
+    pub fn mixed_pools(&self) -> IndexSet<PoolName> {
+        let now = clock::now();
+        let mut inner = self.lock();
+        inner.observe_versions(now);
+        let pools: IndexSet<_> = inner.targets.values().map(|e| e.pool.clone()).collect();
+        let is_mixed = |pool: &PoolName| inner.served.sole(pool, now).is_none();
+        pools.into_iter().filter(is_mixed).collect()
+    }
+
     /// The version of a listed target and its warm-up time, in milliseconds.
     pub fn target_version(&self, target: &TargetName) -> Option<(Version, f64)> {
         let inner = self.lock();
@@ -426,6 +487,22 @@
         entry.is_some_and(|e| !e.leaving) && !inner.missing.contains_key(target)
     }
 
+    /// Whether a target of a pool with this version may be sent requests.
+    pub fn is_served(&self, pool: &PoolName, version: &Version) -> bool {
+        let inner = self.lock();
+        let mut of_pool = inner.targets.iter().filter(|(_, e)| e.pool == *pool);
+        of_pool.any(|(name, e)| {
+            !e.leaving && e.version == *version && !inner.missing.contains_key(name)
+        })
+    }
+
+    /// The start time of a listed target's process, and the version of its software.
+    pub fn process(&self, target: &TargetName) -> Option<(u64, Version)> {
+        let inner = self.lock();
+        let entry = inner.targets.get(target)?;
+        Some((entry.born, entry.version.clone()))
+    }
+
     /// The start time of a listed target's process.
     pub fn born(&self, target: &TargetName) -> Option<u64> {
         self.lock().targets.get(target).map(|e| e.born)
@@ -456,7 +533,8 @@
 
     /// The changes that a follower at `cursor` lacks, and their age.
     pub fn update_since(&self, cursor: &StoreCursor) -> StoreUpdate {
-        let inner = self.lock();
+        let mut inner = self.lock();
+        inner.observe_versions(clock::now());
         let catalog = inner.catalog.as_ref();
         let whole = cursor.epoch != self.epoch;
         let since = if whole { 0 } else { cursor.change };
@@ -476,6 +554,7 @@
             epoch: self.epoch,
             change: inner.change,
             held_ms: 0.0,
+            served: inner.knows_served.then(|| inner.served.news(clock::now())),
             orders: inner
                 .orders
                 .as_ref()
@@ -500,6 +579,15 @@
 }
 
 impl Inner {
+    // Records that the listed targets serve.
+    fn observe_versions(&mut self, now: Timestamp) {
+        let targets = self.targets.values();
+        let seen: IndexSet<_> = targets.map(|e| (&e.pool, &e.version)).collect();
+        for (pool, version) in seen {
+            self.served.record(pool, version, now);
+        }
+    }
+
     fn access(&self) -> StoreAccess {
         let age_ms = age_ms(self.catalog_as_of).max(age_ms(self.targets_as_of));
         source::access(self.reads, !self.failing.is_empty(), age_ms)
@@ -552,6 +640,9 @@
             return returned;
         }
         let changed = old.is_none_or(|old| entry.differs(old));
+        if let Some(old) = old {
+            self.served.record(&old.pool, &old.version, clock::now());
+        }
         if changed {
             info!(event = "registry", target:% = name, address:% = entry.address, pool:% = entry.pool, leaving = entry.leaving; "target listed");
             self.record_change(&name);
@@ -578,6 +669,7 @@
             self.missing.swap_remove(name);
             if let Some(entry) = self.targets.shift_remove(name) {
                 info!(event = "registry", target:% = name; "target removed");
+                self.served.record(&entry.pool, &entry.version, now);
                 self.record_change(name);
                 self.removed.insert(name.clone(), entry);
                 changed = true;
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -151,6 +151,16 @@
         }
     }
 
+    /// The rule for a stream that a version of the pool began; none if it may not go on there.
+    pub fn choose_resume(&self, pool: &PoolName, version: &Version) -> Option<VersionRule> {
+        let mut inner = self.lock();
+        let rule = match inner.local.get_mut(pool) {
+            Some(l) => l.node.choose_resume(version, l.has_new, clock::now()),
+            None => VersionRule::Only(version.clone()),
+        };
+        Some(rule).filter(|rule| rule.allows(version))
+    }
+
     /// Records that a request is about to be sent to a target; without roll-outs there is nothing to
     /// record.
     ///
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -11,7 +11,10 @@
 use http_body_util::{BodyExt, Full};
 use log::{info, warn};
 use rwd_metrics::label;
-use rwd_placement::{Feature, Fingerprint, Offer, SlotOutcome, Timestamp, features};
+use rwd_placement::{
+    Feature, Fingerprint, Offer, Origin, SlotOutcome, StreamKey, Timestamp, Version, VersionRule,
+    features,
+};
 use rwd_types::TargetName;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -73,6 +76,8 @@
     withheld: u32,
     // Where it has been sent.
     addresses: Vec<SocketAddr>,
+    // Which version began its stream; none if it has not begun.
+    origin: Option<Origin>,
     // Whether its last send went to the old version of a roll-out; none if there was no send.
     began_old: Option<bool>,
     /// Events of the response that have been relayed.
@@ -148,6 +153,7 @@
             unreachable: 0,
             withheld: 0,
             addresses: Vec::new(),
+            origin: None,
             began_old: None,
             events: 0,
             writing_since: None,
@@ -181,6 +187,9 @@
     async fn dispatch(&mut self, first: Permit) -> Outcome {
         let mut last_failure = None;
         let mut permit = first;
+        if let Err(refusal) = self.find_origin().await {
+            return Outcome::Refused(refusal);
+        }
         let refusal = loop {
             let last_event = self.admitted.head.last_event;
             let (dispatch, attempt) = match self.next_attempt(permit, last_event).await {
@@ -227,6 +236,67 @@
         }
     }
 
+    // Finds out which version began the stream that the caller takes up.
+    async fn find_origin(&mut self) -> Result<(), Refusal> {
+        let (head, pool) = (&self.admitted.head, &self.admitted.pool);
+        let takes_up = head.last_event.is_some_and(|id| id > 0) || head.resumes.is_some();
+        if !takes_up || !self.is_resumable() {
+            return Ok(());
+        }
+        let key = head.resumes.as_ref().map(|id| self.stream_key(id));
+        let left = Duration::from_secs_f64(self.left_ms().max(0.0) / 1000.0);
+        let origin = timeout(left, self.gateway.streams.origin(pool, key)).await;
+        // A stream that cannot be found in time is not known either.
+        let origin = origin.unwrap_or_default();
+        info!(event = "taken_up", request:% = head.id, resumes:? = head.resumes, after:? = head.last_event, origin:?; "the caller takes up a stream");
+        match origin {
+            Some(Origin::Version(_)) => {
+                self.origin = origin;
+                Ok(())
+            }
+            Some(Origin::Ambiguous) | None => Err(Refusal::UnknownOrigin),
+        }
+    }
+
+    fn is_resumable(&self) -> bool {
+        let route = &self.admitted.route;
+        route.streams && route.retry == RetryPolicy::Resume
+    }
+
+    fn stream_key(&self, attempt: &str) -> StreamKey {
+        let (pool, workspace) = (&self.admitted.pool, self.admitted.workspace.as_ref());
+        let workspace = workspace.map(|w| &w.name);
+        self.gateway.fingerprinter.stream(pool, workspace, attempt)
+    }
+
+    /// Records that the current target has sent the first event of its part of the stream. Returns whether the
+    /// stream is that of one version.
+    fn record_origin(&mut self, dispatch: &Dispatch) -> bool {
+        if !self.is_resumable() {
+            return true;
+        }
+        // The entry may have been that of an earlier process of the target.
+        let process = self.gateway.replica.process(&dispatch.slot.target);
+        let is_same = process.is_none_or(|p| p == (dispatch.born, dispatch.version.clone()));
+        let origin = match is_same {
+            true => Origin::Version(dispatch.version.clone()),
+            false => Origin::Ambiguous,
+        };
+        if self.origin.as_ref().is_some_and(|began| *began != origin) {
+            return false;
+        }
+        let head = &self.admitted.head;
+        for attempt in [Some(&head.id), head.resumes.as_ref()]
+            .into_iter()
+            .flatten()
+        {
+            let (pool, key) = (&self.admitted.pool, self.stream_key(attempt));
+            self.gateway.streams.record(pool, key, origin.clone());
+        }
+        self.origin = Some(origin);
+        true
+    }
+
     fn refuse(&self, refusal: Refusal) -> Response<Body> {
         let refusal = match self.sends {
             0 => {
@@ -300,8 +370,19 @@
         // It may have been blocked while it was queued.
         self.check_blocked()?;
         let sent = clock::now();
-        let born = self.gateway.replica.born(&slot.target).unwrap_or_default();
-        let mut dispatch = Dispatch { slot, sent, born };
+        let process = self.gateway.replica.process(&slot.target);
+        let (born, version) = process.unwrap_or_default();
+        let mut dispatch = Dispatch {
+            slot,
+            sent,
+            born,
+            version,
+        };
+        let began = self.origin.clone();
+        if began.is_some_and(|o| o != Origin::Version(dispatch.version.clone())) {
+            info!(event = "other_version", request:% = self.admitted.head.id, target:% = dispatch.slot.target, version:% = dispatch.version, origin:? = self.origin; "the scheduler granted a slot of a target of another version");
+            return Ok((dispatch, Attempt::Draining(permit)));
+        }
         if let Some(withheld) = self.withheld(&dispatch) {
             info!(event = "withheld", request:% = self.admitted.head.id, target:% = dispatch.slot.target, scheduler:% = dispatch.slot.scheduler, reason:? = withheld; "the scheduler granted a slot of a target that wants no request");
             return Ok((dispatch, Attempt::Withheld(withheld, permit)));
@@ -336,10 +417,9 @@
             .slot_wait_ms
             .record(sent - requested_at, &[]);
         self.record_spill(&dispatch.slot);
-        let version = self.gateway.replica.target_version(&dispatch.slot.target);
         info!(
             event = "dispatch", request:% = self.admitted.head.id, target:% = dispatch.slot.target,
-            version = version.as_ref().map_or("", |(v, _)| v.as_str()),
+            version:% = dispatch.version,
             resumes:? = self.admitted.head.resumes,
             scheduler:% = dispatch.slot.scheduler, waited_ms = (sent - requested_at) as u64,
             expected_ms = dispatch.slot.first_ms as u64, after:? = last_event,
@@ -382,12 +462,11 @@
     }
 
     async fn acquire_slot(&self, left_ms: f64) -> Result<Slot, Refusal> {
-        let offer = self.offer();
+        let (offer, rule) = self.offer()?;
         if self.gateway.slots.exceeds_memory(&offer) {
             info!(event = "exceeds_memory", request:% = offer.request, pool:% = offer.pool, prompt = offer.prompt, max_output = offer.max_output; "the request is larger than the memory of a target may hold");
             return Err(Refusal::ExceedsMemory);
         }
-        let rule = offer.version.clone();
         let slot = self.gateway.slots.acquire(offer);
         let limit = Duration::from_secs_f64(left_ms / 1000.0);
         let acquired = tokio::select! {
@@ -435,11 +514,11 @@
         if let Ok(output) = timeout(limit, &mut pending).await {
             return Some(output);
         }
-        if self.may_fail_over() {
-            let mut offer = self.offer();
+        if self.may_fail_over()
+            && let Ok((mut offer, rule)) = self.offer()
+        {
             offer.exclude.push(current.clone());
             offer.resumes = true;
-            let rule = offer.version.clone();
             let gateway = self.gateway.clone();
             let slot = tokio::select! {
                 output = &mut pending => return Some(output),
@@ -463,9 +542,20 @@
             && self.left_ms() > MIN_DISPATCH_MS
     }
 
-    fn offer(&self) -> Offer {
+    // The offer, and the rule of a roll-out that it keeps to.
+    fn offer(&self) -> Result<(Offer, VersionRule), Refusal> {
         let a = &self.admitted;
-        Offer {
+        let rollouts = &self.gateway.rollouts;
+        let rule = match &self.origin {
+            None => rollouts.choose(&a.pool, self.began_old == Some(true)),
+            Some(Origin::Version(version)) => {
+                let rule = rollouts.choose_resume(&a.pool, version);
+                let is_served = self.gateway.replica.is_served(&a.pool, version);
+                rule.filter(|_| is_served).ok_or(Refusal::VersionLeft)?
+            }
+            Some(Origin::Ambiguous) => return Err(Refusal::UnknownOrigin),
+        };
+        let offer = Offer {
             request: a.head.id.clone(),
             pool: a.pool.clone(),
             rank: a.rank,
@@ -484,11 +574,9 @@
             resumes: self.sends > 0,
             reuse_ms: self.reuse().likely_idle_ms(),
             last_resort: false,
-            version: self
-                .gateway
-                .rollouts
-                .choose(&a.pool, self.began_old == Some(true)),
-        }
+            version: rule.clone(),
+        };
+        Ok((offer, rule))
     }
 
     async fn send(
@@ -658,6 +746,8 @@
     pub sent: Timestamp,
     /// Start time of the target's process, as listed at that time.
     pub born: u64,
+    /// Version of its software, as listed at that time.
+    pub version: Version,
 }
 
 fn elapsed(since: Timestamp) -> Duration {
--- a/crates/gateway/src/run/receive.rs
+++ b/crates/gateway/src/run/receive.rs
@@ -73,6 +73,10 @@
             let target = &dispatch.slot.target;
             let next = self.wait_or_fail_over(reader.next(), limit, target).await;
             return match next {
+                Some(Next::Event(_)) if !self.record_origin(dispatch) => {
+                    info!(event = "other_version", request:% = self.admitted.head.id, target:% = dispatch.slot.target, origin:? = self.origin; "the target was replaced by another version");
+                    Attempt::Malformed
+                }
                 Some(Next::Event(first)) => Attempt::Started(Box::new(StartedStream {
                     parts,
                     reader,
@@ -80,6 +84,7 @@
                     first: Some(first),
                     sent: dispatch.sent,
                     born: dispatch.born,
+                    version: dispatch.version.clone(),
                 })),
                 Some(Next::End) => Attempt::Started(Box::new(StartedStream {
                     parts,
@@ -88,6 +93,7 @@
                     first: None,
                     sent: dispatch.sent,
                     born: dispatch.born,
+                    version: dispatch.version.clone(),
                 })),
                 Some(Next::Broken(e)) => self.broken_stream(&dispatch.slot.target, &e),
                 None => Attempt::Unresponsive,
--- a/crates/gateway/src/slots.rs
+++ b/crates/gateway/src/slots.rs
@@ -24,7 +24,7 @@
 use crate::local_scheduler::{LocalScheduler, Ticket};
 use crate::rollout::InUse;
 use crate::room_sync::RoomSync;
-use crate::shards::{Shard, Shards};
+use crate::shards::{Shard, Shards, partition};
 use crate::{Scheduling, StoreReplica, clock, handover};
 
 pub(crate) use spill::Spill;
@@ -278,7 +278,7 @@
             return self.acquire_by_room(rooms, offer).await;
         }
         let created = clock::now();
-        let shards = self.shards.of(&offer.pool, &offer.zone);
+        let shards = self.shards_of(&offer);
         let mut open = Vec::new();
         let mut declined = None;
         for shard in shards.into_iter().take(MAX_SHARDS) {
@@ -315,6 +315,21 @@
         }))
     }
 
+    // The shards of the offer's pool that have targets of its version, in the order to try them.
+    fn shards_of(&self, offer: &Offer) -> Vec<Shard> {
+        let mut shards = self.shards.of(&offer.pool, &offer.zone);
+        if let VersionRule::Only(version) = &offer.version {
+            let targets = self.replica.targets(&offer.pool);
+            let partition = partition(&offer.pool, &targets);
+            shards.retain(|shard| {
+                let targets = partition.get(shard).into_iter().flatten();
+                let mut entries = targets.map(|(_, entry)| entry);
+                entries.any(|e| !e.leaving && e.version == *version)
+            });
+        }
+        shards
+    }
+
     // Waits at the last scheduler after another was lost; a second loss ends the wait.
     async fn wait_after_loss(
         &self,
--- a/crates/gateway/src/slots/spill.rs
+++ b/crates/gateway/src/slots/spill.rs
@@ -54,7 +54,7 @@
         offer: Offer,
     ) -> Result<Slot, Declined> {
         let created = clock::now();
-        let shards = self.shards.of(&offer.pool, &offer.zone);
+        let shards = self.shards_of(&offer);
         let mut wait = Wait {
             open: Vec::new(),
             asking: None,
--- a/crates/gateway/src/store_sync.rs
+++ b/crates/gateway/src/store_sync.rs
@@ -283,6 +283,9 @@
         let as_of = update.catalog_age_ms.map(|age_ms| replied_at + -age_ms);
         self.observe(from, &update, as_of);
         self.replica.merge_orders(update.orders, replied_at);
+        if let Some(served) = update.served {
+            self.replica.learn_served(&served);
+        }
         let records = update.targets.into_iter();
         let records = records
             .map(|(name, entry)| Record::Target(name, entry))
--- /dev/null
+++ b/crates/gateway/src/stream_sync.rs
@@ -0,0 +1,546 @@
+//! Shares between nodes which software version began each stream.
+//!
+//! Callers take broken streams up at any node, within milliseconds. While targets of several versions serve a
+//! pool, each node tells three others of the streams that begin there: the owners of the stream's
+//! partition, by rendezvous hashing. The first of them writes these to the store in batches, in case that
+//! all nodes are lost; a node that has just started reads them when it is asked for a stream that nobody
+//! knows. While there is one version, nothing is told or written.
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use indexmap::{IndexMap, IndexSet};
+use log::{debug, info, warn};
+use rwd_peer::{Directory, Exchange, Links, rank};
+use rwd_placement::{
+    Origin, STREAM_LIFETIME_MS, ServedVersion, StreamKey, StreamLedger, Timestamp, Version,
+};
+use rwd_timer::Timer;
+use rwd_types::{Incarnation, InstanceName, PoolName};
+use rwd_wire::Message;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+use crate::clock::UnixClock;
+use crate::{
+    Batch, Feed, Record, Store, StoreError, StoreReplica, StoredStreams, StoredVersion,
+    StoredVersions, clock,
+};
+
+/// Number of partitions of all streams, by the least number of nodes. The first owner of each writes to the
+/// store, and a single node can serve the streams of a small cluster.
+const PARTITIONS: [(usize, u64); 3] = [(64, 16), (16, 4), (0, 1)];
+/// Nodes that know the streams of a partition, beside those where they began.
+const OWNERS: usize = 3;
+/// How long streams are collected before other nodes are told of them.
+const BATCH_PERIOD: Duration = Duration::from_millis(30);
+/// Period of checking whether owners or versions have changed.
+const CHECK_PERIOD: Duration = Duration::from_millis(500);
+/// Period of a writer's calls to the store, in milliseconds. What began since is unknown after a loss of all
+/// nodes, and streams in progress are seldom older than a second.
+const WRITE_PERIOD_MS: u64 = 100;
+/// Number of a node's records in the store; the next one replaces the oldest.
+const STORED_RECORDS: u64 = 200;
+/// Maximum streams in one record.
+const MAX_RECORD_STREAMS: usize = 8192;
+/// Timeout of a store call.
+const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+/// How long an owner may take to reply.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause before owners are asked once more: news of a stream that has just begun may be on the way.
+const ASK_AGAIN: Duration = Duration::from_millis(150);
+/// Pause before the store is read again after a failure.
+const LOAD_PAUSE_MS: f64 = 1000.0;
+
+type Owners = Vec<(InstanceName, Incarnation)>;
+
+/// Reads the streams that the store keeps.
+pub(crate) type ReadStreams =
+    Box<dyn Fn() -> BoxFuture<'static, Result<Batch, StoreError>> + Send + Sync>;
+
+/// Reads the streams that `store` keeps.
+pub(crate) fn read_streams<S: Store>(store: Arc<S>) -> ReadStreams {
+    Box::new(move || {
+        let store = store.clone();
+        async move { store.newest(Feed::Streams, STORE_TIMEOUT).await }.boxed()
+    })
+}
+
+#[derive(Default)]
+struct Inner {
+    // Streams that began at this node.
+    own: StreamLedger,
+    // Streams that other nodes or the store told of.
+    told: StreamLedger,
+    // Streams of this node that are still to be told to their owners.
+    untold: IndexMap<StreamKey, Origin>,
+    unwritten: IndexMap<StreamKey, Origin>,
+    // Pools whose streams have to be told apart.
+    mixed: IndexSet<PoolName>,
+    owners: Vec<Owners>,
+    // What the store knows of the versions of each pool.
+    stored: IndexMap<PoolName, StoredVersions>,
+    loaded: bool,
+    loaded_at: Option<Timestamp>,
+}
+
+/// One node's knowledge of which versions began streams.
+pub(crate) struct StreamSync {
+    own: InstanceName,
+    peer: SocketAddr,
+    directory: Arc<Directory>,
+    links: Arc<Links>,
+    replica: Arc<StoreReplica>,
+    read_streams: ReadStreams,
+    unix: UnixClock,
+    started: Timestamp,
+    inner: Mutex<Inner>,
+    has_news: Notify,
+    // Streams that are not yet told or not yet written.
+    pending: watch::Sender<usize>,
+}
+
+impl StreamSync {
+    pub fn new(
+        own: InstanceName,
+        peer: SocketAddr,
+        directory: Arc<Directory>,
+        links: Arc<Links>,
+        replica: Arc<StoreReplica>,
+        read_streams: ReadStreams,
+    ) -> Self {
+        Self {
+            own,
+            peer,
+            directory,
+            links,
+            replica,
+            read_streams,
+            unix: UnixClock::start(),
+            started: clock::now(),
+            inner: Mutex::default(),
+            has_news: Notify::new(),
+            pending: watch::Sender::new(0),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// The number of streams that other nodes or the store are still to be told of.
+    pub fn pending(&self) -> watch::Receiver<usize> {
+        self.pending.subscribe()
+    }
+
+    fn update_pending(&self, telling: usize) {
+        let inner = self.lock();
+        let count = inner.untold.len() + inner.unwritten.len() + telling;
+        self.pending.send_replace(count);
+    }
+
+    /// Records which version began a stream of this node.
+    pub fn record(&self, pool: &PoolName, key: StreamKey, origin: Origin) {
+        let mut inner = self.lock();
+        let is_new = inner.own.record(key, origin.clone(), clock::now());
+        if is_new && inner.mixed.contains(pool) {
+            inner.untold.insert(key, origin);
+            drop(inner);
+            self.update_pending(0);
+            self.has_news.notify_one();
+        }
+    }
+
+    /// Which version began a stream of a pool; none if nothing is known of it and there are several.
+    pub async fn origin(&self, pool: &PoolName, key: Option<StreamKey>) -> Option<Origin> {
+        let known = key.and_then(|key| self.known(key));
+        let sole = || self.replica.sole_version(pool).map(Origin::Version);
+        if let Some(origin) = known.or_else(sole) {
+            return Some(origin);
+        }
+        let key = key?;
+        if let Some(origin) = self.ask_owners(key).await {
+            return Some(origin);
+        }
+        if clock::now() - self.started < STREAM_LIFETIME_MS {
+            self.load().await;
+        }
+        if let Some(origin) = self.known(key) {
+            return Some(origin);
+        }
+        sleep(ASK_AGAIN).await;
+        self.ask_owners(key).await
+    }
+
+    fn known(&self, key: StreamKey) -> Option<Origin> {
+        let now = clock::now();
+        let mut inner = self.lock();
+        let own = inner.own.origin(key, now);
+        own.or_else(|| inner.told.origin(key, now))
+    }
+
+    // The nodes that know the streams of a partition, best first.
+    fn owners_of(&self, partition: u64) -> Owners {
+        let view = self.directory.view();
+        let ranked = rank(partition, view.candidates()).into_iter().take(OWNERS);
+        ranked.map(|m| (m.name.clone(), m.incarnation)).collect()
+    }
+
+    fn partitions(&self) -> u64 {
+        let nodes = self.directory.view().members.len();
+        let fitting = PARTITIONS.iter().find(|(least, _)| nodes >= *least);
+        fitting.map_or(1, |(_, count)| *count)
+    }
+
+    async fn ask_owners(&self, key: StreamKey) -> Option<Origin> {
+        let owners = self.owners_of(key.0 % self.partitions()).into_iter();
+        let others = owners.filter(|(name, _)| *name != self.own);
+        let mut asked: FuturesUnordered<_> = others
+            .map(|(name, _)| async move {
+                let request = Message::AskStream(key);
+                match self.links.ask(&name, &request, REPLY_TIMEOUT).await {
+                    Ok(Message::StreamOrigin(origin)) => origin,
+                    Ok(_) => None,
+                    Err(e) => {
+                        debug!(peer:% = name, error:% = e; "cannot ask for a stream");
+                        None
+                    }
+                }
+            })
+            .collect();
+        while let Some(reply) = asked.next().await {
+            if reply.is_some() {
+                return reply;
+            }
+        }
+        None
+    }
+
+    // Reads the streams that the store keeps, once in the life of a process.
+    async fn load(&self) {
+        let now = clock::now();
+        {
+            let mut inner = self.lock();
+            let is_recent = inner.loaded_at.is_some_and(|t| now - t < LOAD_PAUSE_MS);
+            if inner.loaded || is_recent {
+                return;
+            }
+            inner.loaded_at = Some(now);
+        }
+        let batch = match (self.read_streams)().await {
+            Ok(batch) => batch,
+            Err(e) => {
+                warn!(event = "streams", error:% = e; "cannot read the streams that began before this node started");
+                return;
+            }
+        };
+        let mut count = 0;
+        let mut inner = self.lock();
+        for record in batch.records {
+            match record {
+                Record::Streams(stored) if self.is_recent(stored.at_ms) => {
+                    for (version, keys) in stored.streams {
+                        for key in keys {
+                            count += 1;
+                            let origin = Origin::Version(version.clone());
+                            inner.told.record(StreamKey(key), origin, now);
+                        }
+                    }
+                }
+                Record::Unreadable { key, reason } => {
+                    warn!(event = "streams", key:%, reason:%; "unreadable entry");
+                }
+                _ => (),
+            }
+        }
+        inner.loaded = true;
+        drop(inner);
+        info!(event = "streams", count; "read the streams that began before this node started");
+    }
+
+    fn is_recent(&self, at_ms: f64) -> bool {
+        self.unix.age_ms(at_ms, clock::now()) < STREAM_LIFETIME_MS
+    }
+
+    /// Tells the owners of the streams that begin at this node, until the task is dropped.
+    pub async fn tell(self: Arc<Self>, timer: Timer) {
+        let mut ticks = timer.every(CHECK_PERIOD);
+        let mut changes = self.replica.watch();
+        loop {
+            tokio::select! {
+                () = self.has_news.notified() => sleep(BATCH_PERIOD).await,
+                () = ticks.tick() => self.check_owners(),
+                Ok(()) = changes.changed() => (),
+            }
+            self.check_versions();
+            self.tell_owners().await;
+        }
+    }
+
+    // Tells all streams of this node once they have to be told apart.
+    fn check_versions(&self) {
+        let mixed = self.replica.mixed_pools();
+        let mut inner = self.lock();
+        if mixed == inner.mixed {
+            return;
+        }
+        info!(event = "versions", pools = mixed.len(); "pools whose targets are of several versions");
+        let is_more = mixed.iter().any(|pool| !inner.mixed.contains(pool));
+        inner.mixed = mixed;
+        if is_more {
+            inner.retell();
+        }
+    }
+
+    // Tells all streams of this node again if a partition has another owner, or one that has started anew.
+    fn check_owners(&self) {
+        if self.lock().mixed.is_empty() {
+            return;
+        }
+        let owners: Vec<_> = (0..self.partitions()).map(|p| self.owners_of(p)).collect();
+        let mut inner = self.lock();
+        if owners != inner.owners {
+            inner.owners = owners;
+            inner.retell();
+        }
+    }
+
+    async fn tell_owners(self: &Arc<Self>) {
+        let untold = std::mem::take(&mut self.lock().untold);
+        if untold.is_empty() {
+            return;
+        }
+        self.update_pending(untold.len());
+        let mut by_owner: IndexMap<InstanceName, IndexMap<StreamKey, Origin>> = IndexMap::new();
+        let mut owners: IndexMap<u64, Owners> = IndexMap::new();
+        let partitions = self.partitions();
+        for (key, origin) in untold {
+            let partition = key.0 % partitions;
+            let owners = owners
+                .entry(partition)
+                .or_insert_with(|| self.owners_of(partition));
+            for (name, _) in owners {
+                let streams = by_owner.entry(name.clone()).or_default();
+                streams.insert(key, origin.clone());
+            }
+        }
+        let mut told = JoinSet::new();
+        for (name, streams) in by_owner {
+            if name == self.own {
+                self.learn(streams);
+                continue;
+            }
+            let this = self.clone();
+            told.spawn(async move {
+                let message =
+                    Message::Streams(streams.iter().map(|(k, o)| (*k, o.clone())).collect());
+                let reply = this.links.ask(&name, &message, REPLY_TIMEOUT).await;
+                reply.map(|_| ()).map_err(|e| {
+                    debug!(peer:% = name, error:% = e; "cannot tell of streams");
+                    streams
+                })
+            });
+        }
+        while let Some(done) = told.join_next().await {
+            match done {
+                Ok(Ok(())) => (),
+                // Told again with the next check.
+                Ok(Err(streams)) => self.lock().untold.extend(streams),
+                Err(e) => warn!(error:% = e; "telling of streams failed"),
+            }
+        }
+        self.update_pending(0);
+    }
+
+    // Records streams of other nodes; the first owner of a partition writes them.
+    fn learn(&self, streams: IndexMap<StreamKey, Origin>) {
+        let now = clock::now();
+        let mut first: IndexMap<u64, bool> = IndexMap::new();
+        let partitions = self.partitions();
+        for (key, origin) in streams {
+            let writes = *first.entry(key.0 % partitions).or_insert_with_key(|p| {
+                let owners = self.owners_of(*p);
+                owners.first().is_some_and(|(name, _)| *name == self.own)
+            });
+            let mut inner = self.lock();
+            let is_new = inner.told.record(key, origin.clone(), now);
+            if is_new && writes {
+                inner.unwritten.insert(key, origin);
+            }
+        }
+    }
+
+    /// Replies to a node that tells of its streams.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exchange breaks.
+    pub async fn serve_streams(
+        &self,
+        streams: Vec<(StreamKey, Origin)>,
+        mut ex: Exchange,
+    ) -> rwd_peer::Result<()> {
+        self.learn(streams.into_iter().collect());
+        self.update_pending(0);
+        ex.send_last(&Message::UpToDate).await
+    }
+
+    /// Replies to a node that asks for a stream.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exchange breaks.
+    pub async fn serve_ask(&self, key: StreamKey, mut ex: Exchange) -> rwd_peer::Result<()> {
+        ex.send_last(&Message::StreamOrigin(self.known(key))).await
+    }
+
+    /// Writes streams to the store, until the task is dropped. After a restore of the store, all are written
+    /// again.
+    pub async fn write_streams<S: Store>(self: Arc<Self>, store: Arc<S>, timer: Timer) {
+        let mut ticks = timer.every(Duration::from_millis(WRITE_PERIOD_MS));
+        let mut era = self.replica.store_era();
+        loop {
+            ticks.tick().await;
+            let latest = self.replica.store_era();
+            if era.is_some() && era < latest {
+                let mut inner = self.lock();
+                let told: Vec<_> = inner.told.all().map(|(k, o)| (k, o.clone())).collect();
+                inner.unwritten.extend(told);
+            }
+            era = latest;
+            self.write_batch(&*store).await;
+        }
+    }
+
+    async fn write_batch<S: Store>(&self, store: &S) {
+        let batch = {
+            let mut inner = self.lock();
+            let count = inner.unwritten.len().min(MAX_RECORD_STREAMS);
+            let rest = inner.unwritten.split_off(count);
+            std::mem::replace(&mut inner.unwritten, rest)
+        };
+        if batch.is_empty() {
+            return;
+        }
+        let now = clock::now();
+        let at_ms = self.unix.unix_ms(0.0, now);
+        let mut streams: IndexMap<Version, Vec<u64>> = IndexMap::new();
+        for (key, origin) in &batch {
+            if let Origin::Version(version) = origin {
+                streams.entry(version.clone()).or_default().push(key.0);
+            }
+        }
+        let slot = (at_ms as u64 / WRITE_PERIOD_MS) % STORED_RECORDS;
+        let stored = StoredStreams { at_ms, streams };
+        let written = store.record_streams(self.peer, slot, &stored, STORE_TIMEOUT);
+        if let Err(e) = written.await {
+            debug!(error:% = e, count = batch.len(); "cannot write streams to the store");
+            let mut inner = self.lock();
+            if inner.unwritten.len() < MAX_RECORD_STREAMS {
+                inner.unwritten.extend(batch);
+            }
+        }
+        self.update_pending(0);
+    }
+
+    /// Takes in the versions that the store knows to have served.
+    pub fn restore_versions(&self, stored: Vec<StoredVersions>) {
+        let now = clock::now();
+        let age_ms = |v: &StoredVersion| v.last_ms.map_or(0.0, |ms| self.unix.age_ms(ms, now));
+        let served = stored.iter().flat_map(|s| {
+            s.versions.iter().map(|v| ServedVersion {
+                pool: s.pool.clone(),
+                version: v.version.clone(),
+                age_ms: age_ms(v),
+            })
+        });
+        let served: Vec<_> = served.collect();
+        self.replica.learn_served(&served);
+        let mut inner = self.lock();
+        for s in stored {
+            inner.stored.insert(s.pool.clone(), s);
+        }
+    }
+
+    /// Writes the versions that serve to the store while this node reads it, until the task is dropped.
+    pub async fn write_versions<S: Store>(
+        self: Arc<Self>,
+        store: Arc<S>,
+        reads: watch::Receiver<bool>,
+        timer: Timer,
+    ) {
+        let mut changes = self.replica.watch();
+        let mut retries = timer.every(Duration::from_secs(1));
+        let mut era = self.replica.store_era();
+        let mut all_written = true;
+        loop {
+            tokio::select! {
+                Ok(()) = changes.changed() => (),
+                () = retries.tick(), if !all_written => (),
+            }
+            let latest = self.replica.store_era();
+            if era.is_some() && era < latest {
+                self.lock().stored.clear();
+            }
+            era = latest;
+            if *reads.borrow() && self.replica.knows_served() {
+                all_written = self.write_changed_versions(&*store).await;
+            }
+        }
+    }
+
+    // Returns whether the store knows the present versions.
+    async fn write_changed_versions<S: Store>(&self, store: &S) -> bool {
+        let now = clock::now();
+        let mut all_written = true;
+        for (pool, listed) in self.replica.listed_versions() {
+            let served = self.replica.served_versions();
+            let served = served.into_iter().flatten().filter(|v| v.pool == pool);
+            let versions = served.map(|v| StoredVersion {
+                last_ms: match listed.contains(&v.version) {
+                    true => None,
+                    false => Some(self.unix.unix_ms(v.age_ms, now)),
+                },
+                version: v.version,
+            });
+            let versions: Vec<_> = versions.collect();
+            let is_known = self.lock().stored.get(&pool).is_some_and(|s| {
+                let known = s.versions.iter().filter(|v| v.last_ms.is_none());
+                let known: IndexSet<_> = known.map(|v| v.version.clone()).collect();
+                known == listed
+            });
+            if is_known {
+                continue;
+            }
+            let stored = StoredVersions {
+                pool: pool.clone(),
+                versions,
+            };
+            match store.record_versions(&stored, STORE_TIMEOUT).await {
+                Ok(()) => drop(self.lock().stored.insert(pool, stored)),
+                Err(e) => {
+                    warn!(event = "versions_not_stored", pool:%, error:% = e; "cannot write the versions of a pool to the store");
+                    all_written = false;
+                }
+            }
+        }
+        all_written
+    }
+}
+
+impl Inner {
+    fn retell(&mut self) {
+        let own: Vec<_> = self.own.all().map(|(k, o)| (k, o.clone())).collect();
+        self.untold.extend(own);
+    }
+}
+
+/// Waits until all streams have been told and written.
+pub(crate) async fn await_told(mut pending: watch::Receiver<usize>, limit: Duration) -> bool {
+    let told = pending.wait_for(|count| *count == 0);
+    matches!(timeout(limit, told).await, Ok(Ok(_)))
+}
--- a/crates/lab/src/site/store.rs
+++ b/crates/lab/src/site/store.rs
@@ -185,6 +185,13 @@
         keys.map(|(_, key)| key.clone()).collect()
     }
 
+    /// The nodes in the gateway's list of nodes, by their keys.
+    pub fn listed_nodes(&self) -> Vec<String> {
+        let mut keys = self.keys("keyed.nodes");
+        keys.retain(|key| key.parse::<SocketAddr>().is_ok());
+        keys
+    }
+
     /// Deletes the log of a topic but keeps the newest value of each key.
     pub fn compact(&self, topic: &str) {
         let mut topics = lock(&self.shared.topics);
--- a/crates/lab/tests/gateway/joined_versions.rs
+++ b/crates/lab/tests/gateway/joined_versions.rs
@@ -58,8 +58,16 @@
     }
 }
 
-/// Waits until other nodes know the streams that have begun. Nothing tells them yet.
-async fn await_shared(_: &TestCluster) {}
+/// Waits until other nodes and the store know the streams that have begun.
+async fn await_shared(cluster: &TestCluster) {
+    for node in &cluster.nodes {
+        assert!(node.await_streams_told(APPLY).await, "told late");
+    }
+    // What the last one told is to be written by others.
+    for node in &cluster.nodes {
+        assert!(node.await_streams_told(APPLY).await, "written late");
+    }
+}
 
 fn script(cluster: &TestCluster, first: Behaviour, next: Behaviour) {
     for target in &cluster.model_targets {
--- a/crates/lab/tests/gateway/nodes.rs
+++ b/crates/lab/tests/gateway/nodes.rs
@@ -73,7 +73,7 @@
         addresses(&cluster, 1).await,
         [cluster.request_addr(1).to_string()]
     );
-    let listed = cluster.store.keys("keyed.nodes");
+    let listed = cluster.store.listed_nodes();
     assert_eq!(listed.len(), 1, "{listed:?}");
 }
 
--- a/crates/lab/tests/gateway/repeated_crashes.rs
+++ b/crates/lab/tests/gateway/repeated_crashes.rs
@@ -199,8 +199,11 @@
 async fn a_request_that_crashes_targets_stays_blocked_when_all_nodes_are_replaced() {
     let mut load = Load::start(2).await;
     let is_stored = |load: &Load| {
-        let keys = load.cluster.store.keys("keyed.nodes");
-        keys.iter().any(|k| k.starts_with("block-"))
+        let store = &load.cluster.store;
+        let keys = store.keys("keyed.nodes").into_iter();
+        let blocks = keys.filter(|k| k.starts_with("block-"));
+        let mut blocks = blocks.filter_map(|k| store.value("keyed.nodes", &k));
+        blocks.any(|b| !b.contains(r#""lasts_ms":0.0"#))
     };
     while !is_stored(&load) {
         load.run(2, 1, BAD_PERIOD, safe_poison).await;
--- a/crates/lab/tests/gateway/restored_store.rs
+++ b/crates/lab/tests/gateway/restored_store.rs
@@ -184,7 +184,7 @@
 #[tokio::test]
 async fn nodes_announce_themselves_again_after_each_restore() {
     let cluster = TestCluster::start(3, 1, 1).await;
-    let own: Vec<_> = cluster.store.keys("keyed.nodes");
+    let own = cluster.store.listed_nodes();
     assert_eq!(own.len(), 3);
     for round in 0..2 {
         // The copy is from before the nodes announced themselves.
@@ -192,7 +192,7 @@
             .store
             .restore(&cluster.store.copy().without("keyed.nodes"));
         let announced = async {
-            while cluster.store.keys("keyed.nodes").len() < 3 {
+            while cluster.store.listed_nodes().len() < 3 {
                 cluster.store.changed().await;
             }
         };
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,7 +8,7 @@
 //! has. `target` has the cost model, `connections` its part for connections, and `cache` estimates
 //! the content of prefix caches. `request_limit` keeps to the limits that targets name, `memory` to
 //! their memory, and `crash_ledger` finds prompts that crash them. `handover` has what a scheduler
-//! learns when it takes over, and `rollout` moves a pool to another version of its targets.
+//! learns when it takes over, `streams` knows which version of its targets began a stream, and `rollout` moves a pool to another version of its targets.
 
 mod cache;
 mod connections;
@@ -27,6 +27,7 @@
 mod room;
 mod scheduler;
 mod shares;
+mod streams;
 mod target;
 
 pub use crate::cache::PromptCache;
@@ -48,4 +49,7 @@
 pub use crate::room::{MAX_FREE_SLOTS, MAX_WAIT_MS, Room};
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
 pub use crate::shares::{ShareNews, ShareOwner, ShareUse};
+pub use crate::streams::{
+    Origin, STREAM_LIFETIME_MS, ServedVersion, ServedVersions, StreamKey, StreamLedger,
+};
 pub use crate::target::{Capacity, TargetInfo};
--- a/crates/placement/src/rollout/node.rs
+++ b/crates/placement/src/rollout/node.rs
@@ -5,7 +5,8 @@
 
 use super::judge::MAX_ROUTES;
 use super::{
-    MAX_GRANT_MS, RolloutGrant, RolloutOrder, RolloutReport, RouteReport, Stage, Tally, VersionRule,
+    MAX_GRANT_MS, RolloutGrant, RolloutOrder, RolloutReport, RouteReport, Stage, Tally, Version,
+    VersionRule,
 };
 use crate::Timestamp;
 
@@ -99,6 +100,20 @@
         }
     }
 
+    /// Which versions a stream may go to that `version` began; it may go on if the rule allows that version.
+    pub fn choose_resume(
+        &mut self,
+        version: &Version,
+        has_new: bool,
+        now: Timestamp,
+    ) -> VersionRule {
+        match self.stage {
+            Stage::Done => VersionRule::Only(self.order.to.clone()),
+            _ if *version == self.order.to => self.choose(false, true, has_new, now),
+            _ => VersionRule::Only(version.clone()),
+        }
+    }
+
     /// Whether a request with this rule may still be sent to a target of the new version, or of an old
     /// one, after it has waited for its slot.
     pub fn may_send(&self, rule: &VersionRule, is_new: bool, now: Timestamp) -> bool {
@@ -109,7 +124,11 @@
             (Stage::Canary | Stage::Full, true) => {
                 !is_stale && matches!(rule, VersionRule::Only(_))
             }
-            (Stage::Full, false) => is_stale,
+            // A stream that an old version began goes on there.
+            (Stage::Full, false) => {
+                let resumes = matches!(rule, VersionRule::Only(v) if *v != self.order.to);
+                is_stale || resumes
+            }
             (Stage::Canary, false) => true,
         }
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -265,6 +265,8 @@
     pub held_ms: f64,
     /// The newest order of a roll-out for each pool.
     pub orders: Vec<KnownOrder>,
+    /// The versions that have served lately, unless the sender does not know all of them.
+    pub served: Option<Vec<rwd_placement::ServedVersion>>,
 }
 
 /// An operator's order of a roll-out, as nodes relay it.
@@ -551,4 +553,10 @@
     },
     /// What a home node may do in a roll-out.
     RolloutGrant(rwd_placement::RolloutGrant),
+    /// Tells which versions began streams; the reply is [`Message::UpToDate`].
+    Streams(Vec<(rwd_placement::StreamKey, rwd_placement::Origin)>),
+    /// Asks which version began a stream; the reply is [`Message::StreamOrigin`].
+    AskStream(rwd_placement::StreamKey),
+    /// Which version began a stream, if the sender knows it.
+    StreamOrigin(Option<rwd_placement::Origin>),
 }
