--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -22,6 +22,9 @@
 const MAX_CONFIRM_GAP_MS: f64 = 1500.0;
 /// How long after an outage of the store entries that it drops may be back soon, in milliseconds.
 const AFTER_OUTAGE_MS: f64 = 2000.0;
+/// Age of the list of targets up to which a version that is listed alone counts as the only one, in milliseconds:
+/// somewhat more than the list gets while its sources work.
+const MAX_SOLE_AGE_MS: f64 = 2500.0;
 /// How long an entry that the store dropped during an outage may take to return, in milliseconds.
 const RETURN_GRACE_MS: f64 = 1500.0;
 /// Maximum number of versions of the configuration whose sources are kept for followers. A transfer
@@ -186,13 +189,15 @@
         listed
     }
 
-    /// The only version of a pool that may have begun streams which can be taken up, if there is one.
+    /// The only version of a pool that may have begun streams which can be taken up, if there is one. A node
+    /// that has not heard of the registry for long may not know of others.
     pub fn sole_version(&self, pool: &PoolName) -> Option<Version> {
         let now = clock::now();
         let mut inner = self.lock();
         inner.observe_versions(now);
         let sole = inner.served.sole(pool, now).cloned();
-        sole.filter(|_| inner.knows_served)
+        let is_recent = age_ms(inner.targets_as_of) <= MAX_SOLE_AGE_MS;
+        sole.filter(|_| inner.knows_served && is_recent)
     }
 
     /// The pools of which targets of several versions serve, or served lately.
--- a/crates/gateway/src/stream_sync.rs
+++ b/crates/gateway/src/stream_sync.rs
@@ -22,7 +22,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
-use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use crate::clock::UnixClock;
@@ -78,6 +77,8 @@
     told: StreamLedger,
     // Streams of this node that are still to be told to their owners.
     untold: IndexMap<StreamKey, Origin>,
+    // Messages to owners that are not acknowledged yet.
+    telling: usize,
     unwritten: IndexMap<StreamKey, Origin>,
     // Pools whose streams have to be told apart.
     mixed: IndexSet<PoolName>,
@@ -137,9 +138,9 @@
         self.pending.subscribe()
     }
 
-    fn update_pending(&self, telling: usize) {
+    fn update_pending(&self) {
         let inner = self.lock();
-        let count = inner.untold.len() + inner.unwritten.len() + telling;
+        let count = inner.untold.len() + inner.unwritten.len() + inner.telling;
         self.pending.send_replace(count);
     }
 
@@ -150,7 +151,7 @@
         if is_new && inner.mixed.contains(pool) {
             inner.untold.insert(key, origin);
             drop(inner);
-            self.update_pending(0);
+            self.update_pending();
             self.has_news.notify_one();
         }
     }
@@ -277,7 +278,7 @@
                 Ok(()) = changes.changed() => (),
             }
             self.check_versions();
-            self.tell_owners().await;
+            self.tell_owners();
         }
     }
 
@@ -309,12 +310,11 @@
         }
     }
 
-    async fn tell_owners(self: &Arc<Self>) {
+    fn tell_owners(self: &Arc<Self>) {
         let untold = std::mem::take(&mut self.lock().untold);
         if untold.is_empty() {
             return;
         }
-        self.update_pending(untold.len());
         let mut by_owner: IndexMap<InstanceName, IndexMap<StreamKey, Origin>> = IndexMap::new();
         let mut owners: IndexMap<u64, Owners> = IndexMap::new();
         let partitions = self.partitions();
@@ -328,32 +328,32 @@
                 streams.insert(key, origin.clone());
             }
         }
-        let mut told = JoinSet::new();
         for (name, streams) in by_owner {
-            if name == self.own {
-                self.learn(streams);
-                continue;
+            match name == self.own {
+                true => self.learn(streams),
+                // An owner that does not reply must not delay the others.
+                false => {
+                    self.lock().telling += 1;
+                    tokio::spawn(self.clone().tell_owner(name, streams));
+                }
             }
-            let this = self.clone();
-            told.spawn(async move {
-                let message =
-                    Message::Streams(streams.iter().map(|(k, o)| (*k, o.clone())).collect());
-                let reply = this.links.ask(&name, &message, REPLY_TIMEOUT).await;
-                reply.map(|_| ()).map_err(|e| {
-                    debug!(peer:% = name, error:% = e; "cannot tell of streams");
-                    streams
-                })
-            });
         }
-        while let Some(done) = told.join_next().await {
-            match done {
-                Ok(Ok(())) => (),
-                // Told again with the next check.
-                Ok(Err(streams)) => self.lock().untold.extend(streams),
-                Err(e) => warn!(error:% = e; "telling of streams failed"),
-            }
+        self.update_pending();
+    }
+
+    async fn tell_owner(self: Arc<Self>, name: InstanceName, streams: IndexMap<StreamKey, Origin>) {
+        let list = streams.iter().map(|(k, o)| (*k, o.clone())).collect();
+        let message = Message::Streams(list);
+        let told = self.links.ask(&name, &message, REPLY_TIMEOUT).await;
+        let mut inner = self.lock();
+        inner.telling -= 1;
+        if let Err(e) = told {
+            debug!(peer:% = name, error:% = e; "cannot tell of streams");
+            // Told again with the next check.
+            inner.untold.extend(streams);
         }
-        self.update_pending(0);
+        drop(inner);
+        self.update_pending();
     }
 
     // Records streams of other nodes; the first owner of a partition writes them.
@@ -385,7 +385,7 @@
         mut ex: Exchange,
     ) -> rwd_peer::Result<()> {
         self.learn(streams.into_iter().collect());
-        self.update_pending(0);
+        self.update_pending();
         ex.send_last(&Message::UpToDate).await
     }
 
@@ -444,7 +444,7 @@
                 inner.unwritten.extend(batch);
             }
         }
-        self.update_pending(0);
+        self.update_pending();
     }
 
     /// Takes in the versions that the store knows to have served.
