--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -246,8 +246,7 @@
         let key = head.resumes.as_ref().map(|id| self.stream_key(id));
         let left = Duration::from_secs_f64(self.left_ms().max(0.0) / 1000.0);
         let origin = timeout(left, self.gateway.streams.origin(pool, key)).await;
-        // A stream that cannot be found in time is not known either.
-        let origin = origin.unwrap_or_default();
+        let origin = origin.map_err(|_| Refusal::Timeout)?;
         info!(event = "taken_up", request:% = head.id, resumes:? = head.resumes, after:? = head.last_event, origin:?; "the caller takes up a stream");
         match origin {
             Some(Origin::Version(_)) => {
