--- a/crates/placement/tests/stream_storms.rs
+++ b/crates/placement/tests/stream_storms.rs
@@ -27,7 +27,10 @@
 const MIN_TAKEN_UP: usize = 12;
 /// Write calls per second of all nodes that the smallest store takes.
 const MAX_WRITES_PER_S: f64 = 400.0;
+/// Steps between two writes.
 const PERIOD: usize = 2;
+/// How long an owner keeps what another one should have written.
+const KEEP_UNWRITTEN_MS: f64 = 15_000.0;
 const OWNERS: usize = 3;
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -53,7 +56,7 @@
     own: StreamLedger,
     told: StreamLedger,
     untold: Vec<(StreamKey, Origin)>,
-    unwritten: Vec<(StreamKey, Origin)>,
+    unwritten: Vec<(StreamKey, Origin, f64)>,
     served: ServedVersions,
     knows_served: bool,
     was_mixed: bool,
@@ -196,7 +199,8 @@
             self.stored.retain(|(written, ..)| *written < copy);
             self.stored_versions.retain(|(written, _)| *written < copy);
             for node in &mut self.nodes {
-                let told: Vec<_> = node.told.all().map(|(k, o)| (k, o.clone())).collect();
+                let told = node.told.all();
+                let told: Vec<_> = told.map(|(k, o)| (k, o.clone(), self.now)).collect();
                 node.unwritten.extend(told);
             }
         }
@@ -347,14 +351,14 @@
             node.owners.clone_from(&owners);
             for (key, origin) in std::mem::take(&mut node.untold) {
                 let mut all_told = true;
-                for (rank, to) in owners.iter().enumerate() {
+                for to in &owners {
                     let reaches = *to == n || (self.is_connected(n) && self.is_connected(*to));
                     all_told &= reaches;
                     if reaches {
                         let owner = &mut self.nodes[*to];
                         let is_new = owner.told.record(key, origin.clone(), now);
-                        if rank == 0 && is_new {
-                            owner.unwritten.push((key, origin.clone()));
+                        if is_new {
+                            owner.unwritten.push((key, origin.clone(), self.now));
                         }
                     }
                 }
@@ -370,14 +374,18 @@
             return;
         }
         for n in 0..self.nodes.len() {
-            if !self.is_connected(n) || self.nodes[n].unwritten.is_empty() {
+            let now = self.now;
+            let kept = |since: f64| now - since < KEEP_UNWRITTEN_MS;
+            self.nodes[n].unwritten.retain(|(.., since)| kept(*since));
+            let is_first = self.owners(n).first() == Some(&n);
+            if !self.is_connected(n) || self.nodes[n].unwritten.is_empty() || !is_first {
                 continue;
             }
             self.writes += 1;
             let written = self.now + self.storm.write_ms;
             let batch = std::mem::take(&mut self.nodes[n].unwritten);
             self.stored
-                .extend(batch.into_iter().map(|(k, o)| (written, k, o)));
+                .extend(batch.into_iter().map(|(k, o, _)| (written, k, o)));
         }
     }
 
