Tell owners of streams when these are sent, and only of what they lack

Under load the first event, the message to the owners and the write took up to two seconds together.

The version is known when a request is sent to its target, so that owners and store learn it while the target works. If a first send fails and the next goes to another version, the stream is ambiguous and not taken up.

Owners are told by a queue each: one that does not reply gets its own again, not all three, and only new owners are told of earlier streams, of the last 20 s. Fewer partitions, so fewer writers: 4 at 32 nodes, 8 at 128, 16 at 256.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -284,6 +284,13 @@
         if self.origin.as_ref().is_some_and(|began| *began != origin) {
             return false;
         }
+        self.share_origin(&origin);
+        self.origin = Some(origin);
+        true
+    }
+
+    // Tells other nodes which version begins, or goes on with, the stream.
+    fn share_origin(&self, origin: &Origin) {
         let head = &self.admitted.head;
         for attempt in [Some(&head.id), head.resumes.as_ref()]
             .into_iter()
@@ -292,8 +299,6 @@
             let (pool, key) = (&self.admitted.pool, self.stream_key(attempt));
             self.gateway.streams.record(pool, key, origin.clone());
         }
-        self.origin = Some(origin);
-        true
     }
 
     fn refuse(&self, refusal: Refusal) -> Response<Body> {
@@ -427,6 +432,11 @@
             spilled_to:? = dispatch.slot.spill.as_ref().map(|s| s.zone.as_str());
             "dispatching to a target"
         );
+        // Before the target responds, so that others know it when the first event arrives. If another version
+        // begins the stream after all, it is ambiguous.
+        if self.is_resumable() {
+            self.share_origin(&Origin::Version(dispatch.version.clone()));
+        }
         let attempt = self.send(permit, &mut dispatch, last_event).await;
         Ok((dispatch, attempt))
     }
--- a/crates/gateway/src/stream_sync.rs
+++ b/crates/gateway/src/stream_sync.rs
@@ -32,7 +32,7 @@
 
 /// Number of partitions of all streams, by the least number of nodes. The first owner of each writes to the
 /// store, and a single node can serve the streams of a small cluster.
-const PARTITIONS: [(usize, u64); 3] = [(64, 16), (16, 4), (0, 1)];
+const PARTITIONS: [(usize, u64); 4] = [(256, 16), (128, 8), (32, 4), (0, 1)];
 /// Nodes that know the streams of a partition, beside those where they began.
 const OWNERS: usize = 3;
 /// How long streams are collected before other nodes are told of them.
@@ -46,6 +46,8 @@
 const STORED_RECORDS: u64 = 200;
 /// Maximum streams in one record.
 const MAX_RECORD_STREAMS: usize = 8192;
+/// Age up to which new owners are told of a stream, in milliseconds: it has ended by then.
+const RETELL_MS: f64 = 20_000.0;
 /// How long an owner keeps streams that another one should have written, in milliseconds: longer than it takes
 /// to find out that the other one is lost.
 const KEEP_UNWRITTEN_MS: f64 = 15_000.0;
@@ -80,8 +82,10 @@
     own: StreamLedger,
     // Streams that other nodes or the store told of.
     told: StreamLedger,
-    // Streams of this node that are still to be told to their owners.
-    untold: IndexMap<StreamKey, Origin>,
+    // Those of them that may still be taken up, and when they began.
+    recent: IndexMap<StreamKey, (Origin, Timestamp)>,
+    // Streams of this node that each owner is still to be told of.
+    untold: IndexMap<InstanceName, IndexMap<StreamKey, Origin>>,
     // Messages to owners that are not acknowledged yet.
     telling: usize,
     // Streams that the first owner of their partition still has to write, and since when they are known. The
@@ -154,16 +158,21 @@
 
     fn update_untold(&self) {
         let inner = self.lock();
-        let count = inner.untold.len() + inner.telling;
+        let untold = inner.untold.values().map(IndexMap::len);
+        let count = untold.sum::<usize>() + inner.telling;
         self.untold.send_replace(count);
     }
 
     /// Records which version began a stream of this node.
     pub fn record(&self, pool: &PoolName, key: StreamKey, origin: Origin) {
+        let now = clock::now();
         let mut inner = self.lock();
-        let is_new = inner.own.record(key, origin.clone(), clock::now());
-        if is_new && inner.mixed.contains(pool) {
-            inner.untold.insert(key, origin);
+        if !inner.own.record(key, origin.clone(), now) {
+            return;
+        }
+        inner.recent.insert(key, (origin.clone(), now));
+        if inner.mixed.contains(pool) {
+            inner.tell(key, &origin);
             drop(inner);
             self.update_untold();
             self.has_news.notify_one();
@@ -304,51 +313,39 @@
             return;
         }
         info!(event = "versions", pools = mixed.len(); "pools whose targets are of several versions");
-        let is_more = mixed.iter().any(|pool| !inner.mixed.contains(pool));
-        inner.mixed = mixed;
-        if is_more {
-            inner.retell();
+        if mixed.iter().any(|pool| !inner.mixed.contains(pool)) {
+            inner.owners.clear();
         }
+        inner.mixed = mixed;
         drop(inner);
         self.check_owners();
     }
 
-    // Tells all streams of this node again if a partition has another owner, or one that has started anew.
+    // Tells owners that are new, or have started anew, of the streams of their partitions.
     fn check_owners(&self) {
-        let is_unused = {
-            let inner = self.lock();
-            inner.mixed.is_empty() && inner.unwritten.is_empty()
-        };
-        if is_unused {
-            return;
+        let now = clock::now();
+        {
+            let mut inner = self.lock();
+            let began = |at: Timestamp| now - at < RETELL_MS;
+            inner.recent.retain(|_, (_, at)| began(*at));
+            if inner.mixed.is_empty() && inner.unwritten.is_empty() {
+                return;
+            }
         }
         let owners: Vec<_> = (0..self.partitions()).map(|p| self.owners_of(p)).collect();
         let mut inner = self.lock();
-        if owners != inner.owners {
-            inner.owners = owners;
-            inner.retell();
+        if owners == inner.owners {
+            return;
         }
+        let before = std::mem::replace(&mut inner.owners, owners);
+        inner.retell(&before);
+        drop(inner);
+        self.update_untold();
     }
 
     fn tell_owners(self: &Arc<Self>) {
         let untold = std::mem::take(&mut self.lock().untold);
-        if untold.is_empty() {
-            return;
-        }
-        let mut by_owner: IndexMap<InstanceName, IndexMap<StreamKey, Origin>> = IndexMap::new();
-        let mut owners: IndexMap<u64, Owners> = IndexMap::new();
-        let partitions = self.partitions();
-        for (key, origin) in untold {
-            let partition = key.0 % partitions;
-            let owners = owners
-                .entry(partition)
-                .or_insert_with(|| self.owners_of(partition));
-            for (name, _) in owners {
-                let streams = by_owner.entry(name.clone()).or_default();
-                streams.insert(key, origin.clone());
-            }
-        }
-        for (name, streams) in by_owner {
+        for (name, streams) in untold {
             match name == self.own {
                 true => self.learn(streams),
                 // An owner that does not reply must not delay the others.
@@ -367,10 +364,14 @@
         let told = self.links.ask(&name, &message, REPLY_TIMEOUT).await;
         let mut inner = self.lock();
         inner.telling -= 1;
+        let mut owners = inner.owners.iter().flatten();
+        let is_owner = owners.any(|(owner, _)| *owner == name);
         if let Err(e) = told {
             debug!(peer:% = name, error:% = e; "cannot tell of streams");
-            // Told again with the next check.
-            inner.untold.extend(streams);
+            // Told again with the next check, unless it is no owner any more.
+            if is_owner {
+                inner.untold.entry(name).or_default().extend(streams);
+            }
         }
         drop(inner);
         self.update_untold();
@@ -580,15 +581,43 @@
 impl Inner {
     // Whether a node is the first owner of a stream's partition.
     fn writes(&self, key: StreamKey, own: &InstanceName) -> bool {
+        let first = self.owners(key).first();
+        first.is_some_and(|(name, _)| name == own)
+    }
+
+    fn owners(&self, key: StreamKey) -> &[(InstanceName, Incarnation)] {
         let count = self.owners.len().max(1) as u64;
         let owners = self.owners.get((key.0 % count) as usize);
-        let first = owners.and_then(|owners| owners.first());
-        first.is_some_and(|(name, _)| name == own)
+        owners.map_or(&[], Vec::as_slice)
     }
 
-    fn retell(&mut self) {
-        let own: Vec<_> = self.own.all().map(|(k, o)| (k, o.clone())).collect();
-        self.untold.extend(own);
+    fn tell(&mut self, key: StreamKey, origin: &Origin) {
+        for (name, _) in self.owners(key).to_vec() {
+            let streams = self.untold.entry(name).or_default();
+            streams.insert(key, origin.clone());
+        }
+    }
+
+    // Tells owners that were none `before` of all streams that may still be taken up.
+    fn retell(&mut self, before: &[Owners]) {
+        let same_partitions = before.len() == self.owners.len();
+        let owners = std::mem::take(&mut self.owners);
+        let count = owners.len().max(1) as u64;
+        for (partition, owners) in (0..).zip(&owners) {
+            let before = before.get(partition as usize).filter(|_| same_partitions);
+            let is_new = |owner: &&(InstanceName, Incarnation)| {
+                before.is_none_or(|before| !before.contains(owner))
+            };
+            for (name, _) in owners.iter().filter(is_new) {
+                let streams = self.recent.iter();
+                let streams = streams.filter(|(key, _)| key.0 % count == partition);
+                for (key, (origin, _)) in streams {
+                    let untold = self.untold.entry(name.clone()).or_default();
+                    untold.insert(*key, origin.clone());
+                }
+            }
+        }
+        self.owners = owners;
     }
 }
 
