Let all callers wait while a node that has just started reads streams from the store

The first take-up of a node read it; all others were answered as if nothing were there.

The fix: they wait for the read, within their own time; and a node that starts while several versions serve reads at once, not with the first take-up.

--- a/crates/gateway/src/stream_sync.rs
+++ b/crates/gateway/src/stream_sync.rs
@@ -111,6 +111,8 @@
     unix: UnixClock,
     started: Timestamp,
     inner: Mutex<Inner>,
+    // Held while the store is read, so that all callers that ask meanwhile wait for it.
+    loading: tokio::sync::Mutex<()>,
     has_news: Notify,
     // Streams that are still to be told, or acknowledged, and those that this node still has to write.
     untold: watch::Sender<usize>,
@@ -136,6 +138,7 @@
             unix: UnixClock::start(),
             started: clock::now(),
             inner: Mutex::default(),
+            loading: tokio::sync::Mutex::default(),
             has_news: Notify::new(),
             untold: watch::Sender::new(0),
             unwritten: watch::Sender::new(0),
@@ -190,7 +193,7 @@
         if let Some(origin) = self.ask_owners(key).await {
             return Some(origin);
         }
-        if clock::now() - self.started < STREAM_LIFETIME_MS {
+        if self.is_young() {
             self.load().await;
         }
         if let Some(origin) = self.known(key) {
@@ -246,6 +249,7 @@
 
     // Reads the streams that the store keeps, once in the life of a process.
     async fn load(&self) {
+        let _loading = self.loading.lock().await;
         let now = clock::now();
         {
             let mut inner = self.lock();
@@ -286,6 +290,11 @@
         info!(event = "streams", count; "read the streams that began before this node started");
     }
 
+    // Whether streams that began before this process may still be taken up.
+    fn is_young(&self) -> bool {
+        clock::now() - self.started < STREAM_LIFETIME_MS
+    }
+
     fn is_recent(&self, at_ms: f64) -> bool {
         self.unix.age_ms(at_ms, clock::now()) < STREAM_LIFETIME_MS
     }
@@ -300,25 +309,31 @@
                 () = ticks.tick() => self.check_owners(),
                 Ok(()) = changes.changed() => (),
             }
-            self.check_versions();
+            if self.check_versions() && self.is_young() {
+                let this = self.clone();
+                tokio::spawn(async move { this.load().await });
+            }
             self.tell_owners();
         }
     }
 
-    // Tells all streams of this node once they have to be told apart.
-    fn check_versions(&self) {
+    // Tells all streams of this node once they have to be told apart. Returns whether those of another pool
+    // have to be.
+    fn check_versions(&self) -> bool {
         let mixed = self.replica.mixed_pools();
         let mut inner = self.lock();
         if mixed == inner.mixed {
-            return;
+            return false;
         }
         info!(event = "versions", pools = mixed.len(); "pools whose targets are of several versions");
-        if mixed.iter().any(|pool| !inner.mixed.contains(pool)) {
+        let is_more = mixed.iter().any(|pool| !inner.mixed.contains(pool));
+        if is_more {
             inner.owners.clear();
         }
         inner.mixed = mixed;
         drop(inner);
         self.check_owners();
+        is_more
     }
 
     // Tells owners that are new, or have started anew, of the streams of their partitions.
