Push crash reports without comparing all that two nodes know

Cause: since requests without prompts are reported, there is news of crashes all the time in trouble. Each push of news was answered with all that the other node knew whenever that differed, which it then always does, some twenty times a second and node. The small sites do not show it.

The fix: only the comparison once a second exchanges all, and at most 128 cleared features at once.

--- a/crates/gateway/src/crash_sync.rs
+++ b/crates/gateway/src/crash_sync.rs
@@ -305,9 +305,10 @@
         others.cloned().sample(&mut rand::rng(), count)
     }
 
-    // Sends news, and all that this node knows if the other one turns out to know something else.
+    // Sends news; without any, compares what both know, and sends all that this node knows if that differs.
     // Returns whether both know the same now.
     async fn exchange(self: Arc<Self>, peer: InstanceName, news: CrashNews) -> bool {
+        let compares = news.is_empty();
         let mut news = news;
         for _ in 0..2 {
             let digest = self.lock().ledger.digest();
@@ -318,8 +319,10 @@
             match self.links.ask(&peer, &request, REPLY_TIMEOUT).await {
                 Ok(Message::Crashes { digest, news }) => {
                     self.merge(*news);
-                    if digest == self.lock().ledger.digest() {
-                        return true;
+                    // While there is news all the time, no two nodes know the same.
+                    let is_same = digest == self.lock().ledger.digest();
+                    if is_same || !compares {
+                        return is_same;
                     }
                 }
                 Ok(_) => return false,
@@ -354,18 +357,19 @@
         }
     }
 
-    /// Replies to a peer's news; with all that this node knows if it differs from what the peer
-    /// knows.
+    /// Replies to a peer's news; if the peer has none and compares, with all that this node knows if that
+    /// differs from what the peer knows.
     ///
     /// # Errors
     ///
     /// Fails when the exchange breaks.
     pub async fn serve(&self, digest: u64, news: CrashNews, mut ex: Exchange) -> Result<(), Error> {
+        let compares = news.is_empty();
         self.merge(news);
         let reply = {
             let inner = self.lock();
             let own_digest = inner.ledger.digest();
-            let news = match own_digest == digest {
+            let news = match own_digest == digest || !compares {
                 true => CrashNews::default(),
                 false => inner.ledger.news(clock::now()),
             };
--- a/crates/placement/src/crash_ledger.rs
+++ b/crates/placement/src/crash_ledger.rs
@@ -67,6 +67,8 @@
 const MAX_CRASHES: usize = 256;
 /// Maximum crashes in one message.
 const MAX_CRASHES_SENT: usize = 64;
+/// Maximum cleared features in one message, the latest first.
+const MAX_SOUND_SENT: usize = 128;
 /// Crashes under requests with a blocked part, but not all parts of the block, that show that the
 /// other parts do not matter.
 const MIN_UNEXPLAINED: usize = 2;
@@ -647,7 +649,13 @@
         });
         CrashNews {
             crashes: crashes.collect(),
-            sound: self.sound.iter().map(|(f, t)| (*f, now - *t)).collect(),
+            sound: self
+                .sound
+                .iter()
+                .rev()
+                .take(MAX_SOUND_SENT)
+                .map(|(f, t)| (*f, now - *t))
+                .collect(),
             blocked: blocked.collect(),
         }
     }
