--- a/crates/gateway/src/crash_sync.rs
+++ b/crates/gateway/src/crash_sync.rs
@@ -27,7 +27,7 @@
 /// Number of nodes to which news are pushed.
 const FANOUT: usize = 3;
 /// How long news are collected before they are pushed.
-const BATCH_PERIOD: Duration = Duration::from_millis(50);
+const BATCH_PERIOD: Duration = Duration::from_millis(200);
 /// Period of comparing with another node.
 const COMPARE_PERIOD: Duration = Duration::from_secs(1);
 /// Period of assessing the crashes: these count once they have settled.
