Keep suspects out of the store, and push crash reports every 50 ms again

Suspects were written by each reader of the store, and there are many in trouble. Only blocks are stored now; a loss of all nodes between the second crash and the third lets the count start anew.

--- a/crates/gateway/src/crash_sync.rs
+++ b/crates/gateway/src/crash_sync.rs
@@ -27,7 +27,7 @@
 /// Number of nodes to which news are pushed.
 const FANOUT: usize = 3;
 /// How long news are collected before they are pushed.
-const BATCH_PERIOD: Duration = Duration::from_millis(200);
+const BATCH_PERIOD: Duration = Duration::from_millis(50);
 /// Period of comparing with another node.
 const COMPARE_PERIOD: Duration = Duration::from_secs(1);
 /// Period of assessing the crashes: these count once they have settled.
@@ -234,7 +234,10 @@
     fn select_unwritten(&self, is_reader: bool, is_restored: bool) {
         let mut inner = self.lock();
         match is_reader {
-            true if is_restored => inner.unwritten = inner.ledger.news(clock::now()).blocked,
+            true if is_restored => {
+                let blocked = inner.ledger.news(clock::now()).blocked;
+                inner.unwritten = to_store(&blocked).collect();
+            }
             true => (),
             false => inner.unwritten.clear(),
         }
@@ -291,7 +294,7 @@
             }
         }
         if !blocked.is_empty() {
-            inner.unwritten.extend(blocked.iter().cloned());
+            inner.unwritten.extend(to_store(&blocked));
             inner.fresh.blocked.extend(blocked);
             self.has_blocks.notify_one();
             self.has_news.notify_one();
@@ -349,7 +352,7 @@
             inner.fresh.sound.extend(fresh.sound);
             inner.fresh.crashes.extend(fresh.crashes);
             if !fresh.blocked.is_empty() {
-                inner.unwritten.extend(fresh.blocked.iter().cloned());
+                inner.unwritten.extend(to_store(&fresh.blocked));
                 inner.fresh.blocked.extend(fresh.blocked);
                 self.has_blocks.notify_one();
             }
@@ -382,6 +385,11 @@
     }
 }
 
+// The blocks that the store keeps: there are many suspects in trouble.
+fn to_store(blocks: &[BlockNews]) -> impl Iterator<Item = BlockNews> {
+    blocks.iter().filter(|b| b.lasts_ms > 0.0).cloned()
+}
+
 // The features of a set, for logs.
 fn names(set: &[Feature]) -> String {
     let names: Vec<_> = set.iter().map(Feature::to_string).collect();
