--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -216,7 +216,7 @@
     pub first_crash_ms: f64,
     /// When it began, in Unix milliseconds.
     pub since_ms: f64,
-    /// How long it lasts, in milliseconds; zero if requests are only suspected.
+    /// How long it lasts, in milliseconds.
     pub lasts_ms: f64,
 }
 
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -164,8 +164,7 @@
         }
     }
 
-    /// Whether this node knows all versions that have served lately: it has asked the store or another
-    /// node, or has run for long enough.
+    /// Whether this node knows all versions that have served lately, from the store or from another node.
     pub fn knows_served(&self) -> bool {
         self.lock().knows_served
     }
--- a/crates/gateway/src/stream_sync.rs
+++ b/crates/gateway/src/stream_sync.rs
@@ -80,10 +80,10 @@
 struct Inner {
     // Streams that began at this node.
     own: StreamLedger,
+    // Those of them that new owners are told of, and when they were sent to their targets.
+    recent: IndexMap<StreamKey, (Origin, Timestamp)>,
     // Streams that other nodes or the store told of.
     told: StreamLedger,
-    // Those of them that may still be taken up, and when they began.
-    recent: IndexMap<StreamKey, (Origin, Timestamp)>,
     // Streams of this node that each owner is still to be told of.
     untold: IndexMap<InstanceName, IndexMap<StreamKey, Origin>>,
     // Messages to owners that are not acknowledged yet.
--- a/crates/placement/src/crash_ledger.rs
+++ b/crates/placement/src/crash_ledger.rs
@@ -23,8 +23,7 @@
 const MIN_CRASHES: usize = 4;
 /// Crashes under a request that is repeated before it is blamed.
 const MIN_CRASHES_OF_REPEATS: usize = 3;
-/// Crashes under a request that is repeated after which one more is enough, whatever nodes are lost
-/// meanwhile.
+/// Crashes under a request that is repeated after which it is suspected, so that one more is enough.
 const MIN_CRASHES_OF_SUSPECTS: usize = 2;
 /// Number of these that must have followed each other: a request was sent after the crash under
 /// the one before. Many connections may break at once for another reason.
@@ -523,7 +522,7 @@
         })
     }
 
-    // Suspects a request under which targets crashed, so that this is known after any loss of nodes.
+    // Suspects a request under which targets crashed; the next crash has it tried without settling for long.
     fn suspect(&self, feature: Feature, now: Timestamp) -> Option<BlockNews> {
         let set = vec![feature];
         if !feature.is_request() || self.blocked.contains_key(&set) {
