Add a failing test: what reports of crashes may cost a node

The simulation counts what nodes tell each other.

Each report is pushed by every node that is told of it to three others, and two nodes that compare send each other all they know.

--- a/crates/placement/tests/crash_storms.rs
+++ b/crates/placement/tests/crash_storms.rs
@@ -29,6 +29,16 @@
 const SYSTEM: u64 = 1;
 const BAD: u64 = 2;
 const HOT_SUBJECT: u64 = 1000;
+/// What a message and its reply take beside the news: two frames each, tags, and the digests.
+const MESSAGE_BYTES: usize = 100;
+/// The mean that the control of a node may take, by the brief.
+const MAX_MEAN_BYTES_PER_S: f64 = 3000.0;
+/// What any node may take: two in a hundred of a link of 10 Mbit/s.
+const MAX_BYTES_PER_S: f64 = 25_000.0;
+/// Messages that a node with 0.12 of a core sends and receives in 3.6 % of its time, at 0.1 ms each.
+const MAX_MEAN_MESSAGES_PER_S: f64 = 43.0;
+/// The same for a node with 0.5 of a core, one of which each grown site has in each zone.
+const MAX_MESSAGES_PER_S: f64 = 180.0;
 
 struct Node {
     ledger: CrashLedger,
@@ -79,6 +89,8 @@
     repeats: bool,
     /// Share of the connections that are reset at ten and at twenty seconds.
     resets: f64,
+    /// Share of the connections that are reset each second.
+    resets_per_s: f64,
 }
 
 struct World {
@@ -97,6 +109,17 @@
     deaths: usize,
     /// Times of sound requests, and whether they were blocked at a node in touch.
     sound: Vec<(f64, bool)>,
+    /// Requests that were broken off.
+    broken: usize,
+    /// What each node has sent and received.
+    costs: Vec<Cost>,
+}
+
+/// Traffic between nodes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cost {
+    messages: usize,
+    bytes: usize,
 }
 
 fn at(ms: f64) -> Timestamp {
@@ -132,12 +155,18 @@
             bad_crashes: Vec::new(),
             deaths: 0,
             sound: Vec::new(),
+            broken: 0,
+            costs: vec![Cost::default(); storm.nodes],
         }
     }
 
-    fn run(mut self) -> Self {
+    fn run(self) -> Self {
+        self.run_for(LENGTH_MS)
+    }
+
+    fn run_for(mut self, length_ms: f64) -> Self {
         let mut tick = 0_u32;
-        while self.now < LENGTH_MS {
+        while self.now < length_ms {
             self.send_all(tick);
             self.finish_requests();
             self.strike(tick);
@@ -270,6 +299,7 @@
     }
 
     fn break_off(&mut self, r: &Running) {
+        self.broken += 1;
         let node = &mut self.nodes[r.home];
         let report = CrashReport {
             target: format!("t{}", r.target).parse().unwrap(),
@@ -302,13 +332,10 @@
             }
         }
         if matches!(tick, 200 | 400) {
-            let share = self.storm.resets;
-            let all = std::mem::take(&mut self.running);
-            let (lost, kept) = all
-                .into_iter()
-                .partition::<Vec<_>, _>(|_| self.rng.random_bool(share));
-            self.running = kept;
-            lost.iter().for_each(|r| self.break_off(r));
+            self.reset(self.storm.resets);
+        }
+        if self.storm.resets_per_s > 0.0 && tick.is_multiple_of(20) {
+            self.reset(self.storm.resets_per_s);
         }
         for n in 0..self.nodes.len() {
             self.recover(n);
@@ -345,6 +372,15 @@
         }
     }
 
+    fn reset(&mut self, share: f64) {
+        let all = std::mem::take(&mut self.running);
+        let (lost, kept) = all
+            .into_iter()
+            .partition::<Vec<_>, _>(|_| self.rng.random_bool(share));
+        self.running = kept;
+        lost.iter().for_each(|r| self.break_off(r));
+    }
+
     fn lose(&mut self, n: usize, dies: bool) {
         let node = &mut self.nodes[n];
         match dies {
@@ -418,6 +454,7 @@
         if from == to || !self.is_connected(from) || !self.is_connected(to) {
             return;
         }
+        self.count_message(from, to, &news);
         let node = &mut self.nodes[to];
         let fresh = node.ledger.merge(news, at(self.now + 5.0));
         node.fresh.crashes.extend(fresh.crashes);
@@ -425,6 +462,15 @@
         node.fresh.blocked.extend(fresh.blocked);
     }
 
+    // The message and its reply.
+    fn count_message(&mut self, from: usize, to: usize, news: &CrashNews) {
+        let body = bincode::serde::encode_to_vec(news, bincode::config::standard()).unwrap();
+        for n in [from, to] {
+            self.costs[n].messages += 1;
+            self.costs[n].bytes += body.len() + MESSAGE_BYTES;
+        }
+    }
+
     fn compare(&mut self) {
         for n in 0..self.nodes.len() {
             let Some(to) = self.peers_of(n, 1).pop() else {
@@ -660,3 +706,41 @@
         check_seeds(storm, 0..seeds);
     }
 }
+
+// SHORT of issue 59: reports of crashes took the links and processors of all nodes in trouble.
+#[test]
+fn reports_of_crashes_cost_a_node_no_more_than_the_bound_whatever_breaks() {
+    let mut beyond = Vec::new();
+    for (nodes, targets) in [(6, 18), (84, 140), (390, 400)] {
+        let storm = Storm {
+            nodes,
+            targets,
+            sound_per_s: 4000.0,
+            resets_per_s: 0.5,
+            ..Storm::default()
+        };
+        let world = World::new(storm, 1).run_for(10_000.0);
+        let seconds = world.now / 1000.0;
+        let broken = world.broken as f64 / seconds;
+        assert!(broken >= 1000.0, "{broken} broken requests a second");
+        let rates = |n: fn(&Cost) -> usize| {
+            let rates = world.costs.iter().map(|c| n(c) as f64 / seconds);
+            let most = rates.clone().fold(0.0, f64::max);
+            (rates.sum::<f64>() / nodes as f64, most)
+        };
+        let (bytes, most_bytes) = rates(|c| c.bytes);
+        let (messages, most_messages) = rates(|c| c.messages);
+        let figures = format!(
+            "{nodes} nodes, {broken:.0} broken/s: {bytes:.0} bytes/s and {messages:.1} messages/s a node, at most {most_bytes:.0} and {most_messages:.0}"
+        );
+        println!("{figures}");
+        let is_kept = bytes <= MAX_MEAN_BYTES_PER_S
+            && most_bytes <= MAX_BYTES_PER_S
+            && messages <= MAX_MEAN_MESSAGES_PER_S
+            && most_messages <= MAX_MESSAGES_PER_S;
+        if !is_kept {
+            beyond.push(figures);
+        }
+    }
+    assert!(beyond.is_empty(), "{beyond:#?}");
+}
