Report crashes to three coordinators, within a bound, instead of to all nodes

Cause: each broken request was a report that every node pushed to three others, and nodes that differed, as they always do in trouble, sent each other all they knew once a second.

Now a node reports the crashes under its own requests to three coordinators, with a fixed number of messages per second of which each node has an equal share. Two of these relate crashes to each other; before they blame a feature they ask whether requests with it have completed, a few nodes first, then all. Only blocks, and completions that lift them, concern all nodes. A target that leaves ends its connections, which is no evidence any more.

The simulated store now keeps what the product writes: it kept suspicions before, which the product had ceased to write. The first coordinator writes them again, one a second. The simulated nodes use the product's exchange instead of a copy.

--- a/crates/gateway/src/crash_sync.rs
+++ b/crates/gateway/src/crash_sync.rs
@@ -1,16 +1,14 @@
 //! Shares what the nodes know about requests that crash targets.
 //!
-//! Such requests arrive at any node, and each node sees only the
-//! crashes under its own requests. News are pushed from node to node like rumours;
-//! once a second each node that knows anything also compares all it knows with a
-//! random one, so that nodes that join or were cut off catch up (anti-entropy, as in
-//! Demers et al., PODC 1987).
+//! [`CrashExchange`] decides who is told of what. Once a second each node that knows of blocks also compares
+//! them with a random one, so that nodes that join or were cut off catch up.
 
 use log::{debug, info, warn};
 use rand::seq::IteratorRandom;
-use rwd_peer::{Directory, Error, Exchange, Links, first_by_cpu};
+use rwd_peer::{Directory, Error, Exchange, Links, first_by_cpu, rank_by_cpu};
 use rwd_placement::{
-    Admission, BlockNews, CrashLedger, CrashNews, CrashReport, Feature, Fingerprint, Timestamp,
+    Admission, BlockNews, COORDINATORS, CrashExchange, CrashNews, CrashPeers, CrashReport, Feature,
+    Fingerprint, Timestamp,
 };
 use rwd_timer::Timer;
 use rwd_types::{InstanceName, TargetName};
@@ -24,8 +22,6 @@
 use crate::clock::UnixClock;
 use crate::{Store, StoreReplica, StoredBlock, clock};
 
-/// Number of nodes to which news are pushed.
-const FANOUT: usize = 3;
 /// How long news are collected before they are pushed.
 const BATCH_PERIOD: Duration = Duration::from_millis(50);
 /// Period of comparing with another node.
@@ -36,18 +32,18 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Pause before blocks are written again that could not be written.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
-/// Rendezvous key of the node that tries requests after their blocks.
-const TRIALS_KEY: u64 = 0x7472_6961_6c73;
+/// Rendezvous key of the coordinators.
+const COORDINATORS_KEY: u64 = 0x7472_6961_6c73;
 /// How long a node may take to reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
 
 #[derive(Default)]
 struct Inner {
-    ledger: CrashLedger,
-    // Not pushed yet.
-    fresh: CrashNews,
-    // Not written to the store yet.
+    exchange: CrashExchange,
+    // Blocks that are not written to the store yet, if this node reads it.
     unwritten: Vec<BlockNews>,
+    // Suspicions of this node that are not written to the store yet.
+    suspects: Vec<BlockNews>,
 }
 
 /// A request that shows whether those like it still crash targets; the trial lasts until this is dropped.
@@ -58,7 +54,7 @@
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        self.guard.lock().ledger.end_trial(&self.set);
+        self.guard.lock().exchange.end_trial(&self.set);
     }
 }
 
@@ -97,7 +93,7 @@
     ) -> std::result::Result<(), f64> {
         let mut inner = self.lock();
         let admission = inner
-            .ledger
+            .exchange
             .admit(features, || self.tries_requests(), clock::now());
         match admission {
             Admission::Free => Ok(()),
@@ -121,7 +117,7 @@
     fn tries_requests(&self) -> bool {
         let view = self.directory.view();
         let own = self.directory.own().name;
-        first_by_cpu(TRIALS_KEY, view.candidates()).is_some_and(|m| m.name == own)
+        first_by_cpu(COORDINATORS_KEY, view.candidates()).is_some_and(|m| m.name == own)
     }
 
     /// Records that a target crashed while it worked on a request.
@@ -140,12 +136,8 @@
             dispatched_ms: now - dispatched,
             crashed_ms: 0.0,
         };
-        {
-            let mut inner = self.lock();
-            if !inner.ledger.record_crash(&report, now) {
-                return;
-            }
-            inner.fresh.crashes.push(report);
+        if !self.lock().exchange.record_crash(report, now) {
+            return;
         }
         self.has_news.notify_one();
         // A trial has failed before the next one begins.
@@ -154,12 +146,9 @@
 
     /// Records that a request, dispatched at `dispatched`, completed.
     pub fn record_complete(&self, features: &[Feature], dispatched: Timestamp) {
+        let now = clock::now();
         let mut inner = self.lock();
-        let cleared = inner.ledger.record_complete(features, dispatched);
-        if !cleared.is_empty() {
-            let now = clock::now();
-            let cleared = cleared.into_iter().map(|(feature, t)| (feature, now - t));
-            inner.fresh.sound.extend(cleared);
+        if inner.exchange.record_complete(features, dispatched, now) {
             self.has_news.notify_one();
         }
     }
@@ -173,11 +162,7 @@
             since_ms: self.unix.age_ms(b.since_ms, now),
             lasts_ms: b.lasts_ms,
         });
-        let news = CrashNews {
-            blocked: blocked.collect(),
-            ..CrashNews::default()
-        };
-        self.lock().ledger.merge(news, now);
+        self.lock().exchange.restore(blocked.collect(), now);
     }
 
     // Any number of nodes may be lost, so the store keeps blocks too. The nodes that read the store
@@ -185,7 +170,12 @@
     //
     // Returns whether all were written.
     async fn write_blocks<S: Store>(&self, store: &S) -> bool {
-        let blocks = std::mem::take(&mut self.lock().unwritten);
+        let blocks = {
+            let mut inner = self.lock();
+            let mut blocks = std::mem::take(&mut inner.unwritten);
+            blocks.append(&mut inner.suspects);
+            blocks
+        };
         let mut failed = Vec::new();
         for b in blocks {
             let now = clock::now();
@@ -235,15 +225,14 @@
         let mut inner = self.lock();
         match is_reader {
             true if is_restored => {
-                let blocked = inner.ledger.news(clock::now()).blocked;
-                inner.unwritten = to_store(&blocked).collect();
+                inner.unwritten = inner.exchange.blocks(clock::now());
             }
             true => (),
             false => inner.unwritten.clear(),
         }
     }
 
-    /// Spreads news and assesses crashes, until the task is dropped.
+    /// Tells other nodes and assesses crashes, until the task is dropped.
     pub async fn run(self: Arc<Self>, timer: Timer) {
         let mut ticks = timer.every(COMPARE_PERIOD);
         let mut assessments = timer.every(ASSESS_PERIOD);
@@ -255,24 +244,22 @@
                 () = self.has_news.notified() => {
                     sleep(BATCH_PERIOD).await;
                     self.assess();
-                    let news = std::mem::take(&mut self.lock().fresh);
-                    for peer in self.random_peers(FANOUT) {
-                        exchanges.spawn(self.clone().exchange(peer, news.clone()));
+                    self.send_due(&mut exchanges);
+                }
+                () = assessments.tick() => {
+                    self.assess();
+                    if self.lock().exchange.has_more() {
+                        self.send_due(&mut exchanges);
                     }
                 }
-                () = assessments.tick() => self.assess(),
                 () = ticks.tick() => {
-                    let knows_any = self.lock().ledger.digest() != 0;
-                    let peers = match knows_any || !compared {
-                        true => self.random_peers(1),
-                        false => Vec::new(),
-                    };
-                    for peer in peers {
-                        exchanges.spawn(self.clone().exchange(peer, CrashNews::default()));
+                    let knows_any = self.lock().exchange.digest() != 0;
+                    if (knows_any || !compared) && let Some(peer) = self.random_peer() {
+                        exchanges.spawn(self.clone().compare(peer));
                     }
                 }
                 Some(done) = exchanges.join_next() => match done {
-                    Ok(replied) => compared |= replied,
+                    Ok(same) => compared |= same,
                     Err(e) => warn!(error:% = e; "the exchange of crashes failed"),
                 },
             }
@@ -282,8 +269,8 @@
     fn assess(&self) {
         let now = clock::now();
         let mut inner = self.lock();
-        let blocked = inner.ledger.assess(now);
-        for b in &blocked {
+        let begun = inner.exchange.assess(now);
+        for b in &begun {
             match b.lasts_ms {
                 0.0 => {
                     info!(event = "request_suspected", features = names(&b.set); "targets crashed one after the other under this request")
@@ -293,91 +280,129 @@
                 }
             }
         }
-        if !blocked.is_empty() {
-            inner.unwritten.extend(to_store(&blocked));
-            inner.fresh.blocked.extend(blocked);
+        let blocks = begun.into_iter().filter(|b| b.lasts_ms > 0.0);
+        let blocks: Vec<_> = blocks.collect();
+        let suspect = inner.exchange.take_suspect(now);
+        if !blocks.is_empty() || suspect.is_some() {
+            inner.unwritten.extend(blocks);
+            inner.suspects.extend(suspect);
             self.has_blocks.notify_one();
             self.has_news.notify_one();
         }
     }
 
-    fn random_peers(&self, count: usize) -> Vec<InstanceName> {
+    fn peers(&self) -> CrashPeers {
         let own = self.directory.own().name;
         let view = self.directory.view();
-        let others = view.members.keys().filter(|name| **name != own);
-        others.cloned().sample(&mut rand::rng(), count)
+        let coordinators = rank_by_cpu(COORDINATORS_KEY, view.candidates()).into_iter();
+        let coordinators = coordinators.take(COORDINATORS);
+        CrashPeers {
+            others: view
+                .members
+                .keys()
+                .filter(|n| **n != own)
+                .cloned()
+                .collect(),
+            coordinators: coordinators
+                .map(|m| (m.name.clone(), m.incarnation))
+                .collect(),
+            own,
+        }
     }
 
-    // Sends news; without any, compares what both know, and sends all that this node knows if that differs.
-    // Returns whether both know the same now.
-    async fn exchange(self: Arc<Self>, peer: InstanceName, news: CrashNews) -> bool {
-        let compares = news.is_empty();
-        let mut news = news;
-        for _ in 0..2 {
-            let digest = self.lock().ledger.digest();
-            let request = Message::Crashes {
-                digest,
-                news: Box::new(news),
-            };
-            match self.links.ask(&peer, &request, REPLY_TIMEOUT).await {
-                Ok(Message::Crashes { digest, news }) => {
-                    self.merge(*news);
-                    // While there is news all the time, no two nodes know the same.
-                    let is_same = digest == self.lock().ledger.digest();
-                    if is_same || !compares {
-                        return is_same;
-                    }
-                }
-                Ok(_) => return false,
-                Err(e) => {
-                    debug!(peer:% = peer, error:% = e; "cannot exchange crashes");
-                    return false;
+    fn random_peer(&self) -> Option<InstanceName> {
+        let peers = self.peers();
+        peers.others.into_iter().choose(&mut rand::rng())
+    }
+
+    fn send_due(self: &Arc<Self>, exchanges: &mut JoinSet<bool>) {
+        let peers = self.peers();
+        let due = self
+            .lock()
+            .exchange
+            .poll(&peers, &mut rand::rng(), clock::now());
+        for (peer, news) in due {
+            let this = self.clone();
+            exchanges.spawn(async move {
+                if this.tell(&peer, news.clone()).await.is_none() {
+                    this.lock().exchange.record_unsent(&peer, &news);
                 }
+                false
+            });
+        }
+    }
+
+    // Returns the digest of the node's blocks, if it has replied.
+    async fn tell(&self, peer: &InstanceName, news: CrashNews) -> Option<u64> {
+        let request = Message::Crashes {
+            digest: self.lock().exchange.digest(),
+            news: Box::new(news),
+        };
+        match self.links.ask(peer, &request, REPLY_TIMEOUT).await {
+            Ok(Message::Crashes { digest, news }) => {
+                self.merge(*news);
+                Some(digest)
+            }
+            Ok(_) => None,
+            Err(e) => {
+                debug!(peer:%, error:% = e; "cannot exchange crashes");
+                None
             }
-            news = self.lock().ledger.news(clock::now());
         }
-        true
+    }
+
+    // Compares blocks with a node, and sends this node's if they differ. Returns whether the node has replied.
+    async fn compare(self: Arc<Self>, peer: InstanceName) -> bool {
+        let Some(digest) = self.tell(&peer, CrashNews::default()).await else {
+            return false;
+        };
+        let blocked = {
+            let inner = self.lock();
+            match inner.exchange.digest() == digest {
+                true => Vec::new(),
+                false => inner.exchange.latest_blocks(clock::now()),
+            }
+        };
+        let news = CrashNews {
+            blocked,
+            ..CrashNews::default()
+        };
+        news.is_empty() || self.tell(&peer, news).await.is_some()
     }
 
     fn merge(&self, news: CrashNews) {
-        if news.is_empty() {
-            return;
-        }
         let mut inner = self.lock();
-        let fresh = inner.ledger.merge(news, clock::now());
-        for b in &fresh.blocked {
+        let (begun, _) = inner.exchange.merge(news, clock::now());
+        self.record_begun(&mut inner, begun);
+    }
+
+    // Logs blocks that other nodes have found, and has them written to the store.
+    fn record_begun(&self, inner: &mut Inner, begun: Vec<BlockNews>) {
+        for b in &begun {
             info!(event = "prompt_blocked", parts = names(&b.set), lasts_ms = b.lasts_ms; "blocking requests with these features, as other nodes do");
         }
-        if !fresh.is_empty() {
-            inner.fresh.sound.extend(fresh.sound);
-            inner.fresh.crashes.extend(fresh.crashes);
-            if !fresh.blocked.is_empty() {
-                inner.unwritten.extend(to_store(&fresh.blocked));
-                inner.fresh.blocked.extend(fresh.blocked);
-                self.has_blocks.notify_one();
-            }
+        if !begun.is_empty() {
+            inner.unwritten.extend(begun);
+            self.has_blocks.notify_one();
+        }
+        if inner.exchange.has_more() {
             self.has_news.notify_one();
         }
     }
 
-    /// Replies to a peer's news; if the peer has none and compares, with all that this node knows if that
-    /// differs from what the peer knows.
+    /// Replies to a peer's news; if the peer has none and compares, with the blocks that this node knows if
+    /// these differ.
     ///
     /// # Errors
     ///
     /// Fails when the exchange breaks.
     pub async fn serve(&self, digest: u64, news: CrashNews, mut ex: Exchange) -> Result<(), Error> {
-        let compares = news.is_empty();
-        self.merge(news);
         let reply = {
-            let inner = self.lock();
-            let own_digest = inner.ledger.digest();
-            let news = match own_digest == digest || !compares {
-                true => CrashNews::default(),
-                false => inner.ledger.news(clock::now()),
-            };
+            let mut inner = self.lock();
+            let (begun, news) = inner.exchange.serve(digest, news, clock::now());
+            self.record_begun(&mut inner, begun);
             Message::Crashes {
-                digest: own_digest,
+                digest: inner.exchange.digest(),
                 news: Box::new(news),
             }
         };
@@ -385,11 +410,6 @@
     }
 }
 
-// The blocks that the store keeps: there are many suspects in trouble.
-fn to_store(blocks: &[BlockNews]) -> impl Iterator<Item = BlockNews> {
-    blocks.iter().filter(|b| b.lasts_ms > 0.0).cloned()
-}
-
 // The features of a set, for logs.
 fn names(set: &[Feature]) -> String {
     let names: Vec<_> = set.iter().map(Feature::to_string).collect();
--- a/crates/gateway/src/run/failure.rs
+++ b/crates/gateway/src/run/failure.rs
@@ -24,8 +24,14 @@
     // A target that has been writing for long was not crashed by this request.
     fn record_crash(&self, dispatch: &Dispatch) {
         let head = &self.admitted.head;
-        let wrote_ms = self.writing_since.map_or(0.0, |since| clock::now() - since);
-        if wrote_ms < MAX_CRASHING_MS {
+        let now = clock::now();
+        let wrote_ms = self.writing_since.map_or(0.0, |since| now - since);
+        // A target that leaves ends its connections.
+        let withheld = &self.gateway.withheld;
+        let withheld = withheld.check(&dispatch.slot.target, dispatch.born, now);
+        let leaves = withheld == Some(Withheld::Leaving)
+            || !self.gateway.replica.is_active(&dispatch.slot.target);
+        if wrote_ms < MAX_CRASHING_MS && !leaves {
             let (target, sent) = (&dispatch.slot.target, dispatch.sent);
             let guard = &self.gateway.crash_guard;
             guard.record_crash(target, &head.id, &self.features, sent);
--- a/crates/placement/src/crash_ledger.rs
+++ b/crates/placement/src/crash_ledger.rs
@@ -14,6 +14,7 @@
 use indexmap::{IndexMap, IndexSet};
 use rwd_types::TargetName;
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 
@@ -132,6 +133,19 @@
     pub sound: Vec<(Feature, f64)>,
     /// Blocked sets of features.
     pub blocked: Vec<BlockNews>,
+    /// Features of which the sender wants to know whether requests have completed with them.
+    pub asked: Vec<Question>,
+}
+
+/// Asks whether a request with a feature has completed that was dispatched after a crash.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Question {
+    /// The feature.
+    pub feature: Feature,
+    /// Time since the crash, in milliseconds.
+    pub crashed_ms: f64,
+    /// Whether all nodes are asked: the receiver passes it on, and tells the coordinators.
+    pub spread: bool,
 }
 
 /// Requests with all features of a set are blocked. Times are in milliseconds.
@@ -150,7 +164,10 @@
 impl CrashNews {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.sound.is_empty() && self.blocked.is_empty()
+        self.crashes.is_empty()
+            && self.sound.is_empty()
+            && self.blocked.is_empty()
+            && self.asked.is_empty()
     }
 }
 
@@ -326,7 +343,8 @@
             || blocks.any(|(set, b)| is_open(b.first_crash) && set.contains(&feature))
     }
 
-    fn completed(&self, feature: Feature) -> Option<Timestamp> {
+    /// When the last request of this node with a feature that completed was dispatched.
+    pub(crate) fn completed(&self, feature: Feature) -> Option<Timestamp> {
         match feature {
             Feature::Part(_) => self.completed_parts.last(&feature),
             Feature::Request(_) => self.completed_requests.last(&feature),
@@ -656,9 +674,61 @@
                 .map(|(f, t)| (*f, now - *t))
                 .collect(),
             blocked: blocked.collect(),
+            asked: Vec::new(),
         }
     }
 
+    /// The blocks, without suspicions.
+    pub fn blocks(&self, now: Timestamp) -> Vec<BlockNews> {
+        let blocks = self.blocked.iter().filter(|(_, b)| !b.is_suspicion());
+        let blocks = blocks.map(|(set, b)| BlockNews {
+            set: set.clone(),
+            first_crash_ms: now - b.first_crash,
+            since_ms: now - b.since,
+            lasts_ms: b.lasts_ms,
+        });
+        blocks.collect()
+    }
+
+    /// The features of all blocks.
+    pub(crate) fn blocked_features(&self) -> IndexSet<Feature> {
+        let blocks = self.blocked.iter().filter(|(_, b)| !b.is_suspicion());
+        blocks.flat_map(|(set, _)| set.iter().copied()).collect()
+    }
+
+    /// The completions that lift a block of another node; none unless they do.
+    pub(crate) fn clearance(&self, news: &BlockNews, now: Timestamp) -> Vec<(Feature, f64)> {
+        let first_crash = now + -news.first_crash_ms;
+        let last = |f: &Feature| {
+            let known = [self.sound.get(f).copied(), self.completed(*f)];
+            let last = known.into_iter().flatten().filter(|t| *t > first_crash);
+            last.max_by(|a, b| a.0.total_cmp(&b.0))
+                .map(|t| (*f, now - t))
+        };
+        let all: Option<Vec<_>> = news.set.iter().map(last).collect();
+        all.unwrap_or_default()
+    }
+
+    /// The features that would be blamed after one crash more, most crashes first, and when targets last
+    /// crashed under requests with them.
+    pub(crate) fn open_features(&self) -> Vec<(Feature, Timestamp)> {
+        let mut open = Vec::new();
+        for feature in self.repeated_features() {
+            let mut against: Vec<_> = self.against(feature).collect();
+            against.sort_by(|(_, a), (_, b)| a.crashed.0.total_cmp(&b.crashed.0));
+            let (crashes, _) = count(against.iter());
+            let least = match feature {
+                Feature::Part(_) => MIN_CRASHES,
+                Feature::Request(_) => MIN_CRASHES_OF_REPEATS,
+            };
+            if let Some((_, last)) = against.last().filter(|_| crashes + 1 >= least) {
+                open.push((crashes, feature, last.crashed));
+            }
+        }
+        open.sort_by_key(|(crashes, ..)| Reverse(*crashes));
+        open.into_iter().map(|(_, f, at)| (f, at)).collect()
+    }
+
     /// Merges what another node knows; returns what was new.
     pub fn merge(&mut self, news: CrashNews, now: Timestamp) -> CrashNews {
         let mut fresh = CrashNews::default();
@@ -692,14 +762,11 @@
         fresh
     }
 
-    /// A hash of the crashes, the blocked sets and the cleared features; zero if there are none.
+    /// A hash of the blocked sets, without suspicions; zero if there are none.
     pub fn digest(&self) -> u64 {
-        let crashes = self.crashes.keys().map(hash);
-        let blocked = self.blocked.iter();
-        let blocked = blocked.map(|(set, b)| hash((set, b.lasts_ms.to_bits())));
-        let sound = self.sound.keys().map(hash);
-        let all = crashes.chain(blocked).chain(sound);
-        all.fold(0, |sum, h| sum ^ h)
+        let blocks = self.blocked.iter().filter(|(_, b)| !b.is_suspicion());
+        let hashes = blocks.map(|(set, b)| hash((set, b.lasts_ms.to_bits())));
+        hashes.fold(0, |sum, h| sum ^ h)
     }
 }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -7,11 +7,13 @@
 //! requests are refused early, `returns` when refused callers retry, and `room` how much room a pool
 //! has. `target` has the cost model, `connections` its part for connections, and `cache` estimates
 //! the content of prefix caches. `request_limit` keeps to the limits that targets name, `memory` to
-//! their memory, and `crash_ledger` finds prompts that crash them. `handover` has what a scheduler
+//! their memory, `crash_ledger` finds prompts that crash them, and `crash_exchange` decides what nodes
+//! tell each other of that. `handover` has what a scheduler
 //! learns when it takes over, `streams` knows which version of its targets began a stream, and `rollout` moves a pool to another version of its targets.
 
 mod cache;
 mod connections;
+mod crash_exchange;
 mod crash_ledger;
 mod decayed;
 mod forecast;
@@ -31,8 +33,10 @@
 mod target;
 
 pub use crate::cache::PromptCache;
+pub use crate::crash_exchange::{COORDINATORS, CrashExchange, CrashPeers};
 pub use crate::crash_ledger::{
-    Admission, BlockNews, CrashLedger, CrashNews, CrashReport, Feature, Fingerprint, features,
+    Admission, BlockNews, CrashLedger, CrashNews, CrashReport, Feature, Fingerprint, Question,
+    features,
 };
 pub use crate::handover::{
     BadReport, HeldSlot, MAX_REPORTS, Result as HandoverResult, TargetEstimate, TargetReport,
--- a/crates/placement/tests/crash_storms.rs
+++ b/crates/placement/tests/crash_storms.rs
@@ -1,16 +1,17 @@
 //! Many nodes that learn from each other which prompts and requests crash targets, in virtual time.
 //!
-//! Nodes exchange news as the gateway does: pushed to three random nodes, and all that they know
-//! compared with a random one once a second; blocks are kept in the store. Meanwhile nodes die, join
+//! Nodes exchange news as the gateway does, and compare blocks with a random node once a second; blocks are
+//! kept in the store. Meanwhile nodes die, join
 //! and are cut off, targets crash by themselves, and connections are reset.
 
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use rwd_placement::{
-    Admission, BlockNews, CrashLedger, CrashNews, CrashReport, Feature, Fingerprint, PromptPart,
-    Timestamp, features,
+    Admission, BlockNews, COORDINATORS, CrashExchange, CrashNews, CrashPeers, CrashReport, Feature,
+    Fingerprint, PromptPart, Timestamp, features,
 };
+use rwd_types::{Incarnation, InstanceName};
 use std::collections::BTreeMap;
 
 const STEP_MS: f64 = 50.0;
@@ -41,8 +42,10 @@
 const MAX_MESSAGES_PER_S: f64 = 180.0;
 
 struct Node {
-    ledger: CrashLedger,
-    fresh: CrashNews,
+    name: InstanceName,
+    /// Number of times that it has died.
+    deaths: u64,
+    exchange: CrashExchange,
     alive: bool,
     cut: bool,
     /// Since when the node has been alive and connected.
@@ -134,9 +137,10 @@
 
 impl World {
     fn new(storm: Storm, seed: u64) -> Self {
-        let node = || Node {
-            ledger: CrashLedger::default(),
-            fresh: CrashNews::default(),
+        let node = |n: usize| Node {
+            name: format!("n{n}").parse().unwrap(),
+            deaths: 0,
+            exchange: CrashExchange::default(),
             alive: true,
             cut: false,
             calm_since: -STABLE_WINDOW_MS,
@@ -146,7 +150,7 @@
             storm,
             rng: StdRng::seed_from_u64(seed),
             now: 0.0,
-            nodes: (0..storm.nodes).map(|_| node()).collect(),
+            nodes: (0..storm.nodes).map(node).collect(),
             running: Vec::new(),
             down_until: BTreeMap::new(),
             next_id: 0,
@@ -236,10 +240,10 @@
         self.next_id += 1;
         let id = self.next_id;
         let in_touch = self.is_in_touch(home);
-        let owner = self.nodes.iter().position(|n| n.alive && !n.cut);
+        let owner = self.coordinators_of(home).next();
         let is_owner = || owner == Some(home);
-        let ledger = &mut self.nodes[home].ledger;
-        let admission = ledger.admit(&features, is_owner, at(self.now));
+        let exchange = &mut self.nodes[home].exchange;
+        let admission = exchange.admit(&features, is_owner, at(self.now));
         let blocked = matches!(admission, Admission::Blocked { .. });
         match bad {
             true if blocked => return,
@@ -279,11 +283,9 @@
                 continue;
             }
             let node = &mut self.nodes[r.home];
-            let cleared = node.ledger.record_complete(&r.features, at(r.sent));
-            r.trial.iter().for_each(|set| node.ledger.end_trial(set));
-            let now = at(self.now);
-            let cleared = cleared.into_iter().map(|(part, t)| (part, now - t));
-            node.fresh.sound.extend(cleared);
+            node.exchange
+                .record_complete(&r.features, at(r.sent), at(self.now));
+            r.trial.iter().for_each(|set| node.exchange.end_trial(set));
         }
     }
 
@@ -308,18 +310,23 @@
             dispatched_ms: self.now - r.sent,
             crashed_ms: 0.0,
         };
-        if node.alive && node.ledger.record_crash(&report, at(self.now)) {
-            node.fresh.crashes.push(report);
-            let blocked = node.ledger.assess(at(self.now));
-            let written = blocked.iter().map(|b| (b.clone(), self.now));
-            if !node.cut && self.store_takes_writes() {
-                self.stored.extend(written);
-            }
-            let node = &mut self.nodes[r.home];
-            node.fresh.blocked.extend(blocked);
+        if node.alive && node.exchange.record_crash(report, at(self.now)) {
+            self.assess(r.home);
         }
         let node = &mut self.nodes[r.home];
-        r.trial.iter().for_each(|set| node.ledger.end_trial(set));
+        r.trial.iter().for_each(|set| node.exchange.end_trial(set));
+    }
+
+    fn assess(&mut self, n: usize) {
+        let takes_writes = self.store_takes_writes();
+        let node = &mut self.nodes[n];
+        let begun = node.exchange.assess(at(self.now));
+        let blocks = begun.into_iter().filter(|b| b.lasts_ms > 0.0);
+        if node.alive && !node.cut && takes_writes {
+            self.stored.extend(blocks.map(|b| (b, self.now)));
+            let suspect = node.exchange.take_suspect(at(self.now));
+            self.stored.extend(suspect.map(|b| (b, self.now)));
+        }
     }
 
     // Faults beside the requests with the bad part.
@@ -359,16 +366,8 @@
                 (0..self.nodes.len()).for_each(|n| self.lose(n, true));
             }
         }
-        let takes_writes = self.store_takes_writes();
         for n in 0..self.nodes.len() {
-            let now = at(self.now);
-            let node = &mut self.nodes[n];
-            let blocked = node.ledger.assess(now);
-            let written = blocked.iter().map(|b| (b.clone(), self.now));
-            if node.alive && !node.cut && takes_writes {
-                self.stored.extend(written);
-            }
-            node.fresh.blocked.extend(blocked);
+            self.assess(n);
         }
     }
 
@@ -386,8 +385,8 @@
         match dies {
             true => {
                 node.alive = false;
-                node.ledger = CrashLedger::default();
-                node.fresh = CrashNews::default();
+                node.deaths += 1;
+                node.exchange = CrashExchange::default();
                 self.running.retain(|r| r.home != n);
             }
             false => node.cut = true,
@@ -407,11 +406,7 @@
                 since_ms: b.since_ms + self.now - at,
                 ..b.clone()
             });
-            let news = CrashNews {
-                blocked: blocked.collect(),
-                ..CrashNews::default()
-            };
-            node.ledger.merge(news, at(self.now));
+            node.exchange.restore(blocked.collect(), at(self.now));
         }
         node.alive = true;
         node.cut = false;
@@ -428,62 +423,96 @@
 
     fn push_news(&mut self) {
         for n in 0..self.nodes.len() {
-            let news = std::mem::take(&mut self.nodes[n].fresh);
-            if news.is_empty() {
+            if !self.nodes[n].alive {
                 continue;
             }
-            for to in self.peers_of(n, 3) {
-                self.tell(n, to, news.clone());
+            let peers = self.peers_of(n);
+            let now = at(self.now);
+            let sent = self.nodes[n].exchange.poll(&peers, &mut self.rng, now);
+            for (to, news) in sent {
+                let to = self.nodes.iter().position(|node| node.name == to).unwrap();
+                if !self.tell(n, to, news.clone()) {
+                    let name = self.nodes[to].name.clone();
+                    self.nodes[n].exchange.record_unsent(&name, &news);
+                }
             }
         }
     }
 
-    // Random nodes that the membership protocol has not found to be lost yet.
-    fn peers_of(&mut self, n: usize, count: usize) -> Vec<usize> {
-        let lost_at = |node: &Node| node.recovers_at - FAULT_MS;
-        let is_listed = |to: &usize| {
-            let node = &self.nodes[*to];
-            let is_found = self.now - lost_at(node) > DETECTION_MS;
-            *to != n && (self.is_connected(*to) || !is_found)
+    // The nodes that the membership protocol has not found to be lost yet, and, if `n` is cut off, `n` alone.
+    fn listed_by(&self, n: usize) -> impl Iterator<Item = usize> {
+        let is_found = |n: usize| {
+            let lost_at = self.nodes[n].recovers_at - FAULT_MS;
+            !self.is_connected(n) && self.now - lost_at > DETECTION_MS
         };
-        let listed: Vec<_> = (0..self.nodes.len()).filter(is_listed).collect();
-        listed.into_iter().sample(&mut self.rng, count)
+        (0..self.nodes.len()).filter(move |to| *to == n || (!is_found(*to) && !is_found(n)))
+    }
+
+    // All machines are alike here, so the first ones coordinate.
+    fn coordinators_of(&self, n: usize) -> impl Iterator<Item = usize> {
+        self.listed_by(n).take(COORDINATORS)
     }
 
-    fn tell(&mut self, from: usize, to: usize, news: CrashNews) {
+    fn peers_of(&self, n: usize) -> CrashPeers {
+        let name = |n: usize| self.nodes[n].name.clone();
+        let coordinators = self.coordinators_of(n);
+        CrashPeers {
+            own: name(n),
+            others: self.listed_by(n).filter(|to| *to != n).map(name).collect(),
+            coordinators: coordinators
+                .map(|n| (name(n), Incarnation(self.nodes[n].deaths)))
+                .collect(),
+        }
+    }
+
+    // Returns whether the node was reached.
+    fn tell(&mut self, from: usize, to: usize, news: CrashNews) -> bool {
         if from == to || !self.is_connected(from) || !self.is_connected(to) {
-            return;
+            return false;
         }
         self.count_message(from, to, &news);
-        let node = &mut self.nodes[to];
-        let fresh = node.ledger.merge(news, at(self.now + 5.0));
-        node.fresh.crashes.extend(fresh.crashes);
-        node.fresh.sound.extend(fresh.sound);
-        node.fresh.blocked.extend(fresh.blocked);
+        let digest = self.nodes[from].exchange.digest();
+        let there = at(self.now + 5.0);
+        let (_, reply) = self.nodes[to].exchange.serve(digest, news, there);
+        self.count_bytes(from, to, &reply);
+        self.nodes[from].exchange.merge(reply, there);
+        true
     }
 
-    // The message and its reply.
+    // The message and its reply, which is counted apart.
     fn count_message(&mut self, from: usize, to: usize, news: &CrashNews) {
-        let body = bincode::serde::encode_to_vec(news, bincode::config::standard()).unwrap();
         for n in [from, to] {
             self.costs[n].messages += 1;
-            self.costs[n].bytes += body.len() + MESSAGE_BYTES;
+            self.costs[n].bytes += MESSAGE_BYTES;
+        }
+        self.count_bytes(from, to, news);
+    }
+
+    fn count_bytes(&mut self, from: usize, to: usize, news: &CrashNews) {
+        let body = bincode::serde::encode_to_vec(news, bincode::config::standard()).unwrap();
+        for n in [from, to] {
+            self.costs[n].bytes += body.len();
         }
     }
 
     fn compare(&mut self) {
         for n in 0..self.nodes.len() {
-            let Some(to) = self.peers_of(n, 1).pop() else {
+            let others: Vec<_> = self.listed_by(n).filter(|to| *to != n).collect();
+            let Some(to) = others.into_iter().choose(&mut self.rng) else {
                 continue;
             };
-            let digests = [n, to].map(|n| self.nodes[n].ledger.digest());
-            if digests[0] != digests[1] {
-                let (own, other) = (
-                    self.nodes[n].ledger.news(at(self.now)),
-                    self.nodes[to].ledger.news(at(self.now)),
-                );
-                self.tell(n, to, own);
-                self.tell(to, n, other);
+            let [own, other] = [n, to].map(|n| self.nodes[n].exchange.digest());
+            if self.nodes[n].alive
+                && own != 0
+                && self.tell(n, to, CrashNews::default())
+                && own != other
+            {
+                let blocked = self.nodes[n].exchange.latest_blocks(at(self.now));
+                let news = CrashNews {
+                    blocked,
+                    ..CrashNews::default()
+                };
+                self.tell(n, to, news);
             }
         }
     }
@@ -493,7 +522,7 @@
         let sets = self
             .nodes
             .iter()
-            .flat_map(|n| n.ledger.news(at(self.now)).blocked);
+            .flat_map(|n| n.exchange.blocks(at(self.now)));
         let sets: Vec<_> = sets.map(|b| b.set).collect();
         let allowed = MAX_DENIED + self.sound.len() / MAX_DENIED_RATIO;
         assert!(
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 /// Version of the protocol; nodes of different versions refuse to connect.
-pub const VERSION: u16 = 10;
+pub const VERSION: u16 = 11;
 /// Length of a handshake nonce, in bytes.
 pub const NONCE_BYTES: usize = 16;
 
@@ -503,11 +503,11 @@
         /// The part, compressed by itself in the zlib format.
         data: Vec<u8>,
     },
-    /// News about prompts that crash targets; the reply is the same message.
+    /// News about requests that crash targets; the reply is the same message.
     Crashes {
-        /// Hash of all that the sender knows, its news included.
+        /// Hash of the blocks that the sender knows, its news included.
         digest: u64,
-        /// What is new, or all that the sender knows if that differs from what the receiver knows.
+        /// What the receiver is to know, or nothing if blocks are only compared.
         news: Box<rwd_placement::CrashNews>,
     },
     /// Reports the room of a shard; the reply is [`Message::UpToDate`].
