--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -13,7 +15,7 @@
 use rwd_types::TargetName;
 use socket2::SockRef;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -37,6 +39,15 @@
 /// Maximum number of idle connections to one target.
 const MAX_IDLE: usize = 16;
 
+/// Opens TCP connections to targets.
+pub type Dial =
+    Arc<dyn Fn(SocketAddr) -> BoxFuture<'static, std::io::Result<TcpStream>> + Send + Sync>;
+
+/// Opens TCP connections through the network of the process.
+pub fn dial_tcp() -> Dial {
+    Arc::new(|address| TcpStream::connect(address).boxed())
+}
+
 /// Why nothing was sent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, derive_more::Display)]
 pub(crate) enum ConnectError {
@@ -142,12 +153,19 @@
 type Owner = (TargetName, SocketAddr);
 
 /// The idle connections of a node.
-#[derive(Default)]
 pub(crate) struct ConnectionPool {
+    dial: Dial,
     idle: Mutex<IndexMap<Owner, Vec<Idle>>>,
 }
 
 impl ConnectionPool {
+    pub fn new(dial: Dial) -> Self {
+        Self {
+            dial,
+            idle: Mutex::default(),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, IndexMap<Owner, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -162,7 +180,7 @@
         let owner = (target.clone(), address);
         match self.take(&owner, reuse.max_idle_ms()) {
             Some(connection) => Ok(connection),
-            None => open(owner).await,
+            None => open(&self.dial, owner).await,
         }
     }
 
@@ -236,9 +254,9 @@
     }
 }
 
-async fn open((target, address): Owner) -> Result<Connection, ConnectError> {
+async fn open(dial: &Dial, (target, address): Owner) -> Result<Connection, ConnectError> {
     let opened = async {
-        let tcp = TcpStream::connect(address).await?;
+        let tcp = dial(address).await?;
         tcp.set_nodelay(true)?;
         SockRef::from(&tcp).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         Ok::<_, std::io::Error>(tcp)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub use crate::buffers::{BufferBudget, OverBudget, Reservation};
 pub use crate::catalog::{Catalog, Limits, Pool, Quota, RetryPolicy, Route, Workspace};
 pub use crate::clock::UnixClock;
+pub use crate::connection::{Dial, dial_tcp};
 pub use crate::edge::{
     BadHeader, BadRequest, Batch, Feed, ListedNode, Lookup, Position, Protocol, Record,
     RequestHead, Store, StoreError, StoredBlock, StoredStreams, StoredVersion, StoredVersions,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,7 +28,7 @@
 
 use crate::buffers::BufferBudget;
 use crate::catalog_sync::CatalogTransfer;
-use crate::connection::ConnectionPool;
+use crate::connection::{ConnectionPool, Dial, dial_tcp};
 use crate::crash_sync::CrashGuard;
 use crate::fingerprint::Fingerprinter;
 use crate::follow::{FeedReader, NodeList};
@@ -140,6 +140,21 @@
         file: Option<PathBuf>,
         protocol: P,
         store: S,
+    ) -> Result<Self, NodeError> {
+        Self::start_with(cfg, file, protocol, store, dial_tcp()).await
+    }
+
+    /// As [`GatewayNode::start`], with connections to targets opened by `dial`.
+    ///
+    /// # Errors
+    ///
+    /// As [`GatewayNode::start`].
+    pub async fn start_with<P: Protocol, S: Store>(
+        cfg: GatewaySettings,
+        file: Option<PathBuf>,
+        protocol: P,
+        store: S,
+        dial: Dial,
     ) -> Result<Self, NodeError> {
         let requests = listen(cfg.listen.requests).await?;
         let readiness = listen(cfg.listen.readiness).await?;
@@ -171,7 +186,7 @@
         let scheduler = LocalScheduler::new(cfg.scheduling.placement(), rooms.clone());
         let scheduler = Arc::new(scheduler);
         let replica = Arc::new(StoreReplica::with_rollouts(cfg.rollouts.is_some()));
-        let connections = Arc::new(ConnectionPool::default());
+        let connections = Arc::new(ConnectionPool::new(dial));
         let withheld = Arc::new(WithheldTargets::default());
         let limiter = Arc::new(Limiter::new(
             instance.clone(),
--- /dev/null
+++ b/crates/lab/tests/gateway/cut_path.rs
@@ -0,0 +1,83 @@
+//! The paths of one node to all targets, which can be cut.
+
+use futures_util::FutureExt;
+use rwd_gateway::Dial;
+use std::io::{Error, ErrorKind, Result};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What happens to a node's connections to targets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// Nothing.
+    None,
+    /// Open ones fall silent, and new ones are not established.
+    Silent,
+    /// Open ones are reset, and new ones are refused.
+    Reset,
+    /// Open ones go on, and new ones are refused.
+    NewRefused,
+}
+
+/// The paths of one node to all targets.
+pub struct CutPath(watch::Sender<Cut>);
+
+impl Default for CutPath {
+    fn default() -> Self {
+        Self(watch::Sender::new(Cut::None))
+    }
+}
+
+impl CutPath {
+    /// Cuts the paths, or heals them.
+    pub fn set(&self, cut: Cut) {
+        self.0.send_replace(cut);
+    }
+
+    /// Opens connections on these paths.
+    pub fn dial(&self) -> Dial {
+        let cut = self.0.subscribe();
+        Arc::new(move |address| connect(address, cut.clone()).boxed())
+    }
+}
+
+async fn connect(address: SocketAddr, cut: watch::Receiver<Cut>) -> Result<TcpStream> {
+    let now = *cut.borrow();
+    match now {
+        Cut::None => (),
+        Cut::Silent => std::future::pending().await,
+        Cut::Reset | Cut::NewRefused => return Err(Error::from(ErrorKind::ConnectionRefused)),
+    }
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let server = TcpStream::connect(address).await?;
+    let (near, far) = tokio::join!(
+        TcpStream::connect(listener.local_addr()?),
+        listener.accept()
+    );
+    let (far, _) = far?;
+    tokio::spawn(forward(far, server, cut));
+    near
+}
+
+// Forwards until a cut. A silent connection is kept, so that neither side learns of it.
+async fn forward(mut far: TcpStream, mut server: TcpStream, mut cut: watch::Receiver<Cut>) {
+    let is_cut = cut.wait_for(|c| matches!(c, Cut::Silent | Cut::Reset));
+    let ended = tokio::select! {
+        _ = copy_bidirectional(&mut far, &mut server) => None,
+        cut = is_cut => cut.ok().map(|c| *c),
+    };
+    match ended {
+        Some(Cut::Reset) => {
+            // An error means that the peer was faster.
+            let _ = far.set_zero_linger();
+        }
+        Some(Cut::Silent) => {
+            tokio::time::sleep(Duration::from_secs(3600)).await;
+        }
+        _ => (),
+    }
+}
--- a/crates/lab/tests/gateway/helper.rs
+++ b/crates/lab/tests/gateway/helper.rs
@@ -1,5 +1,6 @@
 //! A small cluster on loopback: a store, targets and gateway nodes.
 
+use crate::cut_path::CutPath;
 use rwd_gateway::{Bounds, GatewayNode, GatewaySettings, Listen};
 use rwd_lab::site::{
     Call, CallResult, FakeStore, FakeTarget, SlowLink, call, config_record, server_record,
@@ -24,6 +25,8 @@
     pub desk_targets: Vec<FakeTarget>,
     pub model_targets: Vec<FakeTarget>,
     pub nodes: Vec<GatewayNode>,
+    /// The paths of each node to all targets.
+    pub paths: Vec<CutPath>,
     subnet: (u8, u8),
 }
 
@@ -41,6 +44,7 @@
             desk_targets: Vec::new(),
             model_targets: Vec::new(),
             nodes: Vec::new(),
+            paths: Vec::new(),
             subnet,
         };
         for n in 0..desks {
@@ -89,8 +93,10 @@
 
     pub async fn add_node_with(&mut self, cfg: GatewaySettings) {
         let store = PlatformStore::new(cfg.store);
-        let node = GatewayNode::start(cfg, None, PlatformProtocol, store).await;
+        let path = CutPath::default();
+        let node = GatewayNode::start_with(cfg, None, PlatformProtocol, store, path.dial()).await;
         self.nodes.push(node.unwrap());
+        self.paths.push(path);
     }
 
     pub fn settings(&self, n: u8) -> GatewaySettings {
--- a/crates/lab/tests/gateway/main.rs
+++ b/crates/lab/tests/gateway/main.rs
@@ -4,6 +4,8 @@
 mod broken_answers;
 mod crashing_prompts;
 mod cut_heads;
+mod cut_off_nodes;
+mod cut_path;
 mod failed_resumes;
 mod gossip;
 mod handover;
