Probe targets that are down every 200 ms with requests that may repeat

Cause: the backoff of a target that breaks its connections doubles from 250 ms to a second, so that a target that was down for a second is noticed up to a second after it is back. It is long because each probe costs a request: one that may run once is lost when the connection breaks.

Now requests that may run again probe a target that is down every 200 ms, one at a time; the others keep to the backoff.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -582,6 +582,7 @@
             returned: a.returned,
             resumes: self.sends > 0,
             reuse_ms: self.reuse().likely_idle_ms(),
+            may_repeat: self.may_repeat(),
             last_resort: false,
             version: rule.clone(),
         };
--- a/crates/lab/tests/limit_storms.rs
+++ b/crates/lab/tests/limit_storms.rs
@@ -517,6 +517,7 @@
             returned: false,
             resumes: call.tries > 0,
             reuse_ms: 500.0,
+            may_repeat: false,
             last_resort: false,
             version: Default::default(),
         };
--- a/crates/lab/tests/withheld_storms.rs
+++ b/crates/lab/tests/withheld_storms.rs
@@ -236,6 +236,7 @@
             returned: false,
             resumes: false,
             reuse_ms: 500.0,
+            may_repeat: false,
             last_resort: false,
             version: Default::default(),
         };
--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -92,6 +92,8 @@
     /// How long a connection to a target may have been idle for this request to use it, in
     /// milliseconds.
     pub reuse_ms: f64,
+    /// Whether the request may run more than once.
+    pub may_repeat: bool,
     /// Whether the home node reaches no scheduler of the pool and asks its own.
     pub last_resort: bool,
     /// Which versions of targets it may go to.
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -696,7 +696,8 @@
         let mut index = 0;
         let mut skipped = 0;
         while index < self.waiting.len() && skipped < MAX_SKIPPED {
-            let has_free = self.targets.values().any(|t| t.has_free_slot(now));
+            let mut targets = self.targets.values();
+            let has_free = targets.any(|t| t.has_free_slot(now) || t.may_probe(now));
             if !has_free || slot_fraction.is_some_and(|f| self.exceeds_slot_fraction(f)) {
                 break;
             }
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -50,8 +50,12 @@
 /// Nodes that must fail to reach a target before it is down for all nodes: a single node may be
 /// partitioned itself.
 const DOWN_QUORUM: usize = 2;
-/// Longest time between two probes of a target that is down, in milliseconds.
+/// Longest time between two probes of a target that is down with a request that may run once, in
+/// milliseconds: it is lost if the target breaks the connection.
 const MAX_DOWN_BACKOFF_MS: f64 = 1000.0;
+/// Time between two probes with a request that may run again, in milliseconds: so much capacity is lost
+/// unnoticed when the target is back.
+const REPEAT_PROBE_MS: f64 = 200.0;
 /// Broken connections in a row, at two home nodes or more, after which a target is down for all: it
 /// fails each request at once, so that it always has free slots and would attract what others have
 /// no room for. Many, so that a target which loses some of its responses stays in use.
@@ -145,6 +149,7 @@
 /// Exponential backoff of a target, for one node or for all.
 #[derive(Clone, Copy, Debug)]
 struct Backoff {
+    since: Timestamp,
     until: Timestamp,
     length_ms: f64,
 }
@@ -152,8 +157,11 @@
 impl Backoff {
     fn next(last: Option<Self>, max_ms: f64, now: Timestamp) -> Self {
         let length_ms = last.map_or(INITIAL_BACKOFF_MS, |b| (b.length_ms * 2.0).min(max_ms));
-        let until = now + length_ms;
-        Self { until, length_ms }
+        Self {
+            since: now,
+            until: now + length_ms,
+            length_ms,
+        }
     }
 }
 
@@ -257,7 +265,7 @@
             true => (f64::from(self.info.capacity.slots) * OVER_QUOTA_SLOT_FRACTION) as usize,
             false => self.max_in_flight(),
         };
-        self.is_usable(now)
+        (self.is_usable(now) || (offer.may_repeat && self.may_probe(now)))
             && !self.is_backed_off_for(&offer.home, now)
             && !self.is_held_for(&offer.home, now)
             && self.in_flight.len() < slots
@@ -282,6 +290,12 @@
         !self.is_leaving() && now >= self.backoff_until && is_up
     }
 
+    /// Whether the target is down and may be probed with a request that may run again.
+    pub fn may_probe(&self, now: Timestamp) -> bool {
+        let is_due = |b: Backoff| now - b.since >= REPEAT_PROBE_MS && self.in_flight.is_empty();
+        !self.is_leaving() && now >= self.backoff_until && self.down.is_some_and(is_due)
+    }
+
     /// Whether the target is draining, by its entry or by what it says itself.
     pub fn is_leaving(&self) -> bool {
         self.info.leaving || self.says_leaving
@@ -723,9 +737,10 @@
 
     // Requests that fail together double the backoff only once.
     fn mark_down(&mut self, now: Timestamp) {
-        if self.down.is_none_or(|b| now >= b.until) {
-            self.down = Some(Backoff::next(self.down, MAX_DOWN_BACKOFF_MS, now));
-        }
+        self.down = Some(match self.down {
+            Some(b) if now < b.until => Backoff { since: now, ..b },
+            down => Backoff::next(down, MAX_DOWN_BACKOFF_MS, now),
+        });
     }
 
     fn record_failure(&mut self, weight: f64, now: Timestamp) {
--- a/crates/placement/tests/connections.rs
+++ b/crates/placement/tests/connections.rs
@@ -76,6 +76,7 @@
         returned: false,
         resumes: false,
         reuse_ms: REUSE_MS,
+        may_repeat: false,
         version: Default::default(),
         max_output: 0,
         last_resort: false,
--- a/crates/placement/tests/handover_storms.rs
+++ b/crates/placement/tests/handover_storms.rs
@@ -195,6 +195,7 @@
             time_left_ms: LIMIT_MS - age_ms,
             last_resort: last_resort && self.on.bounded_memory,
             reuse_ms: 500.0,
+            may_repeat: false,
             version: Default::default(),
             ..r.offer.clone()
         };
@@ -238,6 +239,7 @@
             resumes: false,
             last_resort: false,
             reuse_ms: 500.0,
+            may_repeat: false,
             version: Default::default(),
         };
         let request = Request {
--- a/crates/placement/tests/memory.rs
+++ b/crates/placement/tests/memory.rs
@@ -59,6 +59,7 @@
         resumes: false,
         last_resort: false,
         reuse_ms: 500.0,
+        may_repeat: false,
         version: Default::default(),
     }
 }
@@ -133,6 +134,7 @@
     let alone = Offer {
         last_resort: true,
         reuse_ms: 500.0,
+        may_repeat: false,
         version: Default::default(),
         ..large.clone()
     };
--- a/crates/placement/tests/placement/broken.rs
+++ b/crates/placement/tests/placement/broken.rs
@@ -82,3 +82,49 @@
         assert!(s.targets(&pool(), now)[0].usable, "after {served}");
     }
 }
+
+// SHORT of issue 59: two of three targets went down and up by turns, and were used for a seventh of the time
+// that they were up.
+#[test]
+fn a_target_that_goes_down_and_up_by_turns_is_used_while_it_is_up() {
+    let mut s = scheduler(vec![target("steady", 4), target("flaps", 4)]);
+    let (mut served, mut lost, mut running) = ([0, 0], [0, 0], Vec::new());
+    for ms in 0..20_000_u32 {
+        let (now, is_up) = (at(f64::from(ms)), (ms / 1000) % 2 == 1);
+        if ms % 30 == 0 {
+            for id in std::mem::take(&mut running) {
+                s.finish(id, complete(30.0, 0.0, 0), now);
+            }
+        }
+        let home = format!("n{}", ms % 7).parse().unwrap();
+        let may_repeat = ms % 4 == 0;
+        let id = s.offer(
+            Offer {
+                home,
+                may_repeat,
+                ..offer(0)
+            },
+            now,
+        );
+        let decisions = s.poll(now);
+        running.extend(granted_to(&decisions, "steady"));
+        for granted in granted_to(&decisions, "flaps") {
+            let kind = usize::from(granted == id && may_repeat);
+            match is_up {
+                true => {
+                    running.push(granted);
+                    served[kind] += 1;
+                }
+                false => {
+                    s.finish(granted, SlotOutcome::Broken, now);
+                    lost[kind] += 1;
+                }
+            }
+        }
+    }
+    // Four slots are free each 30 ms, for ten seconds in all.
+    let most = 4 * 10_000 / 30;
+    let used = served[0] + served[1];
+    assert!(used * 10 >= most * 7, "{used} of {most}");
+    assert!(lost[0] <= 150, "{} lost that may run once", lost[0]);
+}
--- a/crates/placement/tests/placement/helper.rs
+++ b/crates/placement/tests/placement/helper.rs
@@ -56,6 +56,7 @@
         returned: false,
         resumes: false,
         reuse_ms: 500.0,
+        may_repeat: false,
         last_resort: false,
         version: Default::default(),
     }
--- a/crates/placement/tests/shares/load.rs
+++ b/crates/placement/tests/shares/load.rs
@@ -69,6 +69,7 @@
         returned: false,
         resumes: false,
         reuse_ms: 500.0,
+        may_repeat: false,
         version: Default::default(),
         max_output: 0,
         last_resort: false,
