Ask the owners of a stream also while one version is known

It can happen here: a node takes the only version that it knows for that of any stream while its list of targets is up to 2.5 s old (docs/design/streams.md named the hole).

A version is the only one if those that reply know of no other; a node that reaches no owner waits up to 1.5 s for a list that was read after the take-up, and refuses without. Owners that do not know all versions, as after their start, have no say. Price: one round trip for a take-up, at most 60 ms more if an owner is lost, and up to 1.5 s or 503 at a node that is cut off from the others, which is not in touch.

The decision (placement::resolve) is that of the simulation and of the gateway. A take-up that does not name its attempt has no owner to be asked; it goes by the list as before.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -682,7 +682,7 @@
             }
             Message::Crashes { digest, news } => self.crash_guard.serve(digest, *news, ex).await,
             Message::Streams(streams) => self.streams.serve_streams(streams, ex).await,
-            Message::AskStream(key) => self.streams.serve_ask(key, ex).await,
+            Message::AskStream { pool, key } => self.streams.serve_ask(&pool, key, ex).await,
             Message::Dial {
                 pool,
                 target,
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -3,7 +3,7 @@
 use indexmap::{IndexMap, IndexSet};
 use log::{info, warn};
 use rwd_placement::{
-    RolloutOrder, ServedVersion, ServedVersions, Stage, TargetEntry, Timestamp, Version,
+    RolloutOrder, ServedVersion, ServedVersions, Stage, TargetEntry, Timestamp, Version, Versions,
 };
 use rwd_types::{PoolName, StoreEra, TargetName};
 use rwd_wire::{KnownOrder, StoreAccess, StoreCursor, StoreUpdate};
@@ -191,12 +191,23 @@
     /// The only version of a pool that may have begun streams which can be taken up, if there is one. A node
     /// that has not heard of the registry for long may not know of others.
     pub fn sole_version(&self, pool: &PoolName) -> Option<Version> {
+        match self.versions(pool) {
+            Versions::Sole(version) => Some(version),
+            Versions::Unknown | Versions::Several => None,
+        }
+    }
+
+    /// Which versions may have begun streams of a pool.
+    pub fn versions(&self, pool: &PoolName) -> Versions {
         let now = clock::now();
         let mut inner = self.lock();
         inner.observe_versions(now);
-        let sole = inner.served.sole(pool, now).cloned();
         let is_recent = age_ms(inner.targets_as_of) <= MAX_SOLE_AGE_MS;
-        sole.filter(|_| inner.knows_served && is_recent)
+        match inner.served.sole(pool, now) {
+            _ if !inner.knows_served || !is_recent => Versions::Unknown,
+            Some(version) => Versions::Sole(version.clone()),
+            None => Versions::Several,
+        }
     }
 
     /// The pools of which targets of several versions serve, or served lately.
--- a/crates/gateway/src/stream_sync.rs
+++ b/crates/gateway/src/stream_sync.rs
@@ -4,7 +4,8 @@
 //! pool, each node tells three others of the streams that begin there: the owners of the stream's
 //! partition, by rendezvous hashing. The first of them writes these to the store in batches, in case that
 //! all nodes are lost; a node that has just started reads them when it is asked for a stream that nobody
-//! knows. While there is one version, nothing is told or written.
+//! knows. While there is one version, nothing is told or written, but owners are asked, as they may know of
+//! another version that this node has missed.
 
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -13,7 +14,8 @@
 use log::{debug, info, warn};
 use rwd_peer::{Directory, Exchange, Links, rank};
 use rwd_placement::{
-    Origin, STREAM_LIFETIME_MS, ServedVersion, StreamKey, StreamLedger, Timestamp, Version,
+    Origin, OwnerReply, STREAM_LIFETIME_MS, ServedVersion, StreamKey, StreamLedger, Timestamp,
+    Version, resolve,
 };
 use rwd_timer::Timer;
 use rwd_types::{Incarnation, InstanceName, PoolName};
@@ -57,6 +59,12 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long an owner may take to reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a take-up waits for a list of targets that was read after it, if no owner replies, in milliseconds.
+const MAX_FRESH_WAIT_MS: f64 = 1500.0;
+/// Pause before owners and list are tried again meanwhile.
+const FRESH_PERIOD: Duration = Duration::from_millis(100);
+/// How long further owners may take once one has replied.
+const OTHER_REPLIES: Duration = Duration::from_millis(60);
 /// Pause before owners are asked once more: news of a stream that has just begun may be on the way.
 const ASK_AGAIN: Duration = Duration::from_millis(150);
 /// Pause before the store is read again after a failure.
@@ -182,15 +190,16 @@
         }
     }
 
-    /// Which version began a stream of a pool; none if nothing is known of it and there are several.
+    /// Which version began a stream of a pool; none if nothing is known of it and there may be several.
     pub async fn origin(&self, pool: &PoolName, key: Option<StreamKey>) -> Option<Origin> {
-        let known = key.and_then(|key| self.known(key));
-        let sole = || self.replica.sole_version(pool).map(Origin::Version);
-        if let Some(origin) = known.or_else(sole) {
+        let Some(key) = key else {
+            return self.replica.sole_version(pool).map(Origin::Version);
+        };
+        if let Some(origin) = self.known(key) {
             return Some(origin);
         }
-        let key = key?;
-        if let Some(origin) = self.ask_owners(key).await {
+        let asked = clock::now();
+        if let Some(origin) = self.ask_owners(pool, key, asked).await {
             return Some(origin);
         }
         if self.is_young() {
@@ -200,7 +209,19 @@
             return Some(origin);
         }
         sleep(ASK_AGAIN).await;
-        self.ask_owners(key).await
+        loop {
+            let origin = self.ask_owners(pool, key, asked).await;
+            let may_wait = self.replica.sole_version(pool).is_some();
+            if origin.is_some() || !may_wait || clock::now() - asked >= MAX_FRESH_WAIT_MS {
+                return origin;
+            }
+            sleep(FRESH_PERIOD).await;
+        }
+    }
+
+    // Whether the list of targets was read after `since`.
+    fn is_list_fresh(&self, since: Timestamp) -> bool {
+        self.replica.targets_age_ms() < clock::now() - since
     }
 
     fn known(&self, key: StreamKey) -> Option<Origin> {
@@ -223,14 +244,21 @@
         fitting.map_or(1, |(_, count)| *count)
     }
 
-    async fn ask_owners(&self, key: StreamKey) -> Option<Origin> {
+    // Asks the owners of a stream, and decides by their replies and the versions that this node knows.
+    async fn ask_owners(
+        &self,
+        pool: &PoolName,
+        key: StreamKey,
+        since: Timestamp,
+    ) -> Option<Origin> {
         let owners = self.owners_of(key.0 % self.partitions()).into_iter();
         let others = owners.filter(|(name, _)| *name != self.own);
         let mut asked: FuturesUnordered<_> = others
             .map(|(name, _)| async move {
-                let request = Message::AskStream(key);
+                let pool = pool.clone();
+                let request = Message::AskStream { pool, key };
                 match self.links.ask(&name, &request, REPLY_TIMEOUT).await {
-                    Ok(Message::StreamOrigin(origin)) => origin,
+                    Ok(Message::StreamOrigin(reply)) => Some(reply),
                     Ok(_) => None,
                     Err(e) => {
                         debug!(peer:% = name, error:% = e; "cannot ask for a stream");
@@ -239,12 +267,22 @@
                 }
             })
             .collect();
-        while let Some(reply) = asked.next().await {
-            if reply.is_some() {
-                return reply;
+        let mut replies = Vec::new();
+        // An owner that has been lost must not hold up the caller.
+        let mut limit = REPLY_TIMEOUT;
+        while let Ok(Some(reply)) = timeout(limit, asked.next()).await {
+            let Some(reply) = reply else {
+                continue;
+            };
+            let is_found = reply.origin.is_some();
+            replies.push(reply);
+            if is_found {
+                break;
             }
+            limit = OTHER_REPLIES;
         }
-        None
+        let sole = self.replica.sole_version(pool);
+        resolve(sole.as_ref(), self.is_list_fresh(since), &replies)
     }
 
     // Reads the streams that the store keeps, once in the life of a process.
@@ -438,8 +476,17 @@
     /// # Errors
     ///
     /// Fails when the exchange breaks.
-    pub async fn serve_ask(&self, key: StreamKey, mut ex: Exchange) -> rwd_peer::Result<()> {
-        ex.send_last(&Message::StreamOrigin(self.known(key))).await
+    pub async fn serve_ask(
+        &self,
+        pool: &PoolName,
+        key: StreamKey,
+        mut ex: Exchange,
+    ) -> rwd_peer::Result<()> {
+        let reply = OwnerReply {
+            origin: self.known(key),
+            versions: self.replica.versions(pool),
+        };
+        ex.send_last(&Message::StreamOrigin(reply)).await
     }
 
     /// Writes streams to the store, until the task is dropped. After a restore of the store, all are written
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -56,6 +56,7 @@
 pub use crate::scheduler::{Decision, PlacementSettings, Refusal, Scheduler, TargetView};
 pub use crate::shares::{ShareNews, ShareOwner, ShareUse};
 pub use crate::streams::{
-    Origin, STREAM_LIFETIME_MS, ServedVersion, ServedVersions, StreamKey, StreamLedger,
+    Origin, OwnerReply, STREAM_LIFETIME_MS, ServedVersion, ServedVersions, StreamKey, StreamLedger,
+    Versions, resolve,
 };
 pub use crate::target::{Capacity, TargetInfo};
--- a/crates/placement/src/streams.rs
+++ b/crates/placement/src/streams.rs
@@ -4,6 +4,9 @@
 //! [`ServedVersions`] knows which could, those that have left included. Otherwise it takes a record of each
 //! stream: every node keeps those of its own, and [`StreamLedger`] those that other nodes tell it.
 //! A stream of which nothing is known is not resumed.
+//!
+//! A node that was cut off, or stood still, may not know yet that another version has joined. So it asks the
+//! owners of the stream also while it knows of one version only ([`resolve`]).
 
 use indexmap::IndexMap;
 use rwd_types::PoolName;
@@ -32,6 +35,46 @@
     Ambiguous,
 }
 
+/// Which versions may have begun streams of a pool, as far as a node knows.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Versions {
+    /// The node does not know all of them.
+    Unknown,
+    /// Only this one.
+    Sole(Version),
+    /// Several.
+    Several,
+}
+
+/// What an owner of a stream replies to a node that asks for it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnerReply {
+    /// Which version began the stream, if the owner knows it.
+    pub origin: Option<Origin>,
+    /// Which versions may have begun streams of its pool.
+    pub versions: Versions,
+}
+
+/// Which version began a stream of which this node itself knows nothing. `sole` is the only version that may
+/// have, as far as it knows, and `replies` are those of the stream's owners. `is_fresh` says whether its list of
+/// targets was read after the stream was taken up.
+///
+/// Without the word of an owner, `sole` holds only by a fresh list, which has all versions that may have begun
+/// the stream.
+pub fn resolve(sole: Option<&Version>, is_fresh: bool, replies: &[OwnerReply]) -> Option<Origin> {
+    if let Some(origin) = replies.iter().find_map(|r| r.origin.clone()) {
+        return Some(origin);
+    }
+    let sole = sole?;
+    let mut known = replies.iter().filter(|r| r.versions != Versions::Unknown);
+    let agrees = |r: &&OwnerReply| r.versions == Versions::Sole(sole.clone());
+    let is_confirmed = match known.next() {
+        None => is_fresh,
+        Some(first) => agrees(&first) && known.all(|r| agrees(&r)),
+    };
+    is_confirmed.then(|| Origin::Version(sole.clone()))
+}
+
 /// Which version began each of a number of streams, while these may be taken up.
 #[derive(Debug, Default)]
 pub struct StreamLedger {
--- a/crates/placement/tests/stream_storms.rs
+++ b/crates/placement/tests/stream_storms.rs
@@ -9,7 +9,8 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rwd_placement::{
-    Origin, ServedVersion, ServedVersions, StreamKey, StreamLedger, Timestamp, Version,
+    Origin, OwnerReply, ServedVersion, ServedVersions, StreamKey, StreamLedger, Timestamp, Version,
+    Versions, resolve,
 };
 use rwd_types::PoolName;
 use std::collections::BTreeMap;
@@ -21,6 +22,8 @@
 const DETECTION_MS: f64 = 1500.0;
 /// A machine is in touch if nothing has happened to it for this time.
 const STABLE_WINDOW_MS: f64 = 3000.0;
+/// How long before a version joins, and after that, the first node is out of step.
+const OUT_OF_STEP_MS: (f64, f64) = (100.0, 2300.0);
 /// Streams of two versions that are tolerated in a day.
 const MAX_JOINED: usize = 2;
 /// Streams that are taken up at machines in touch from which their share counts.
@@ -49,6 +52,9 @@
     write_ms: f64,
     /// Whether a version leaves as soon as the next one has come.
     leaves: bool,
+    /// Whether the first node is cut off, or stands still, while a version joins whose first streams break and
+    /// are taken up there.
+    out_of_step: bool,
 }
 
 #[derive(Default)]
@@ -131,6 +137,10 @@
         }
     }
 
+    fn newest(&self) -> Version {
+        version(1 + (self.now / 12_000.0) as u32)
+    }
+
     // The versions that serve at a time.
     fn listed(&self, now: f64) -> Vec<Version> {
         let newest = 1 + (now / 12_000.0) as u32;
@@ -163,12 +173,22 @@
         self.nodes[n].alive && !self.nodes[n].cut
     }
 
+    // Whether a version joins about now that the first node does not know of.
+    fn is_out_of_step(&self) -> bool {
+        let (before, after) = OUT_OF_STEP_MS;
+        let since = (self.now + before) % 12_000.0;
+        self.storm.out_of_step && self.now > after && since < before + after
+    }
+
     fn store_works(&self) -> bool {
         let away = self.storm.store_away;
         !away.is_some_and(|(from, ms)| (from..from + ms).contains(&self.now))
     }
 
     fn strike(&mut self) {
+        if self.is_out_of_step() && !self.nodes[0].cut {
+            self.lose(0, false);
+        }
         let all_die = self.storm.all_die.iter();
         let all_die = all_die
             .copied()
@@ -296,7 +316,9 @@
             self.next_key += 1;
             let key = StreamKey(self.next_key.wrapping_mul(0x9e37_79b9_7f4a_7c15));
             let lasts = 200.0 + 6000.0 * self.rng.random::<f64>().powi(2);
-            let breaks = self.rng.random_bool(0.15);
+            let is_new = version == self.newest() && self.is_out_of_step();
+            let breaks = self.rng.random_bool(0.15) || is_new;
+            let lasts = if is_new { 400.0 } else { lasts };
             let origin = Origin::Version(version.clone());
             let node = &mut self.nodes[home];
             node.own.record(key, origin.clone(), at(self.now));
@@ -395,7 +417,10 @@
             .into_iter()
             .partition::<Vec<_>, _>(|s| s.breaks_at <= now);
         for mut s in broken {
-            let n = self.rng.random_range(0..self.nodes.len());
+            let n = match self.is_out_of_step() && s.version == self.newest() {
+                true => 0,
+                false => self.rng.random_range(0..self.nodes.len()),
+            };
             s.tries += 1;
             if !self.nodes[n].alive {
                 s.breaks_at = now + 500.0;
@@ -434,16 +459,10 @@
         if let Some(origin) = self.known(n, key) {
             return Some(origin);
         }
-        let node = &self.nodes[n];
-        let sole = node.served.sole(&pool(), now).filter(|_| node.knows_served);
-        if let Some(version) = sole {
-            return Some(Origin::Version(version.clone()));
-        }
-        for to in self.owners(n) {
-            let reaches = self.is_connected(n) && self.is_connected(to);
-            if let Some(origin) = self.known(to, key).filter(|_| reaches) {
-                return Some(origin);
-            }
+        let sole = self.sole(n);
+        let replies = self.ask_owners(n, key);
+        if let Some(origin) = resolve(sole.as_ref(), false, &replies) {
+            return Some(origin);
         }
         let is_young = self.now - self.nodes[n].started < 60_000.0;
         if is_young && !self.nodes[n].loaded && self.store_works() && self.is_connected(n) {
@@ -457,6 +476,29 @@
         self.known(n, key)
     }
 
+    fn sole(&self, n: usize) -> Option<Version> {
+        let node = &self.nodes[n];
+        let sole = node.served.sole(&pool(), at(self.now));
+        sole.filter(|_| node.knows_served).cloned()
+    }
+
+    fn ask_owners(&mut self, n: usize, key: StreamKey) -> Vec<OwnerReply> {
+        let mut replies = Vec::new();
+        for to in self.owners(n) {
+            if to == n || !self.is_connected(n) || !self.is_connected(to) {
+                continue;
+            }
+            let versions = match (self.nodes[to].knows_served, self.sole(to)) {
+                (false, _) => Versions::Unknown,
+                (true, Some(version)) => Versions::Sole(version),
+                (true, None) => Versions::Several,
+            };
+            let origin = self.known(to, key);
+            replies.push(OwnerReply { origin, versions });
+        }
+        replies
+    }
+
     fn known(&mut self, n: usize, key: StreamKey) -> Option<Origin> {
         let node = &mut self.nodes[n];
         let own = node.own.origin(key, at(self.now));
@@ -567,3 +609,13 @@
         });
     }
 }
+
+// ORDER, reported in issue 59: streams that began at a new version were taken up at a node that was out of step while
+// that version joined.
+#[test]
+fn streams_go_on_at_their_version_when_a_node_is_out_of_step() {
+    check_sizes(|base| Storm {
+        out_of_step: true,
+        ..base
+    });
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -556,9 +556,14 @@
     /// Tells which versions began streams; the reply is [`Message::UpToDate`].
     Streams(Vec<(rwd_placement::StreamKey, rwd_placement::Origin)>),
     /// Asks which version began a stream; the reply is [`Message::StreamOrigin`].
-    AskStream(rwd_placement::StreamKey),
-    /// Which version began a stream, if the sender knows it.
-    StreamOrigin(Option<rwd_placement::Origin>),
+    AskStream {
+        /// The pool.
+        pool: PoolName,
+        /// The stream.
+        key: rwd_placement::StreamKey,
+    },
+    /// What the sender knows of the stream and its pool.
+    StreamOrigin(rwd_placement::OwnerReply),
     /// Requests a connection to a target; the reply is [`Message::Dialed`] or [`Message::NotDialed`]. After the
     /// former, [`Message::Data`] holds the bytes of the connection, both ways.
     Dial {
