Give brittle targets fewer requests at a time after a refusal

A scheduler paused 120 ms after a refusal and sent as many again; services get a request or two beyond their slots, and two schedulers may send to one target during a handover.

Now the first refusal by such a target halves what it gets at a time and pauses for twice the mean time between the refusals that it bears; one more at a time follows every 1.5 s (AIMD), so that several senders settle without knowing of each other.

--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -86,6 +86,8 @@
     pub limit: Option<Result<RequestRate, RateError>>,
     /// Whether the target leaves and wants no new request.
     pub leaving: bool,
+    /// The refusals a second, for want of room, beyond which the target falls over.
+    pub brittle: Option<f64>,
     /// For how long the target wants no other request from this node, in milliseconds.
     pub hold_ms: Option<f64>,
     /// Headers that were ignored because of their values.
--- a/crates/gateway/src/proof.rs
+++ b/crates/gateway/src/proof.rs
@@ -179,6 +179,10 @@
             misdirected: true, ..
         } => SlotOutcome::Gone,
         TargetResponseHead { leaving: true, .. } => SlotOutcome::Leaving,
+        TargetResponseHead {
+            brittle: Some(per_s),
+            ..
+        } => SlotOutcome::Brittle { per_s: *per_s },
         TargetResponseHead {
             hold_ms: Some(for_ms),
             ..
--- a/crates/placement/src/offer.rs
+++ b/crates/placement/src/offer.rs
@@ -119,6 +119,11 @@
     Failed,
     /// The target refused the request because it was full.
     Full,
+    /// The target refused the request because it was full, and falls over if it refuses many.
+    Brittle {
+        /// The refusals a second, of all nodes, that it bears.
+        per_s: f64,
+    },
     /// The address belongs to another target, or the target is draining.
     Gone,
     /// The connection timed out; the node itself may be partitioned.
--- a/crates/placement/src/target.rs
+++ b/crates/placement/src/target.rs
@@ -64,6 +64,15 @@
 const PROVEN_MS: f64 = 1000.0;
 /// Backoff after a target reports that it is full, in milliseconds.
 const FULL_BACKOFF_MS: f64 = 120.0;
+/// Pause after a refusal by a target that falls over, as a multiple of the mean time between the refusals that
+/// it bears: several nodes may schedule it.
+const BRITTLE_PAUSE_FACTOR: f64 = 2.0;
+/// Fewest refusals a second that are reckoned with.
+const MIN_BRITTLE_PER_S: f64 = 0.5;
+/// Longest pause after such a refusal, in milliseconds.
+const MAX_BRITTLE_PAUSE_MS: f64 = 2000.0;
+/// Time after which such a target gets one request more at a time, in milliseconds.
+const ROOM_GROWTH_MS: f64 = 1500.0;
 /// Backoff after a target's address responds as another target, in milliseconds; by then the
 /// target list has been refreshed.
 const GONE_BACKOFF_MS: f64 = 1000.0;
@@ -165,6 +174,14 @@
     }
 }
 
+/// The requests that a target takes at a time, since it last refused one.
+#[derive(Clone, Copy, Debug)]
+struct ShrunkRoom {
+    cap: usize,
+    since: Timestamp,
+    paused_until: Timestamp,
+}
+
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
     pub info: TargetInfo,
@@ -199,6 +216,8 @@
     broken: Vec<InstanceName>,
     // While the target is down, it is probed with one request at a time.
     down: Option<Backoff>,
+    // What it takes at a time, if it has refused requests and falls over if it refuses many.
+    room: Option<ShrunkRoom>,
     last_response: Option<Timestamp>,
 }
 
@@ -227,6 +246,7 @@
             says_leaving: false,
             broken: Vec::new(),
             down: None,
+            room: None,
             last_response: None,
         }
     }
@@ -263,13 +283,13 @@
         };
         let slots = match offer.beyond_quota {
             true => (f64::from(self.info.capacity.slots) * OVER_QUOTA_SLOT_FRACTION) as usize,
-            false => self.max_in_flight(),
+            false => self.max_in_flight(now),
         };
         (self.is_usable(now) || (offer.may_repeat && self.may_probe(now)))
             && !self.is_backed_off_for(&offer.home, now)
             && !self.is_held_for(&offer.home, now)
             && self.in_flight.len() < slots
-            && self.is_within_share()
+            && self.is_within_share(now)
             && self.limit.allows(now)
             && fits
             && offer.version.allows(&self.info.version)
@@ -342,16 +362,16 @@
     /// Whether the target is usable, has a free slot and is below its request limit.
     pub fn has_free_slot(&self, now: Timestamp) -> bool {
         self.is_usable(now)
-            && self.in_flight.len() < self.max_in_flight()
-            && self.is_within_share()
+            && self.in_flight.len() < self.max_in_flight(now)
+            && self.is_within_share(now)
             && self.limit.allows(now)
     }
 
     // Whether the scheduler may grant a further slot before home nodes have reported.
-    fn is_within_share(&self) -> bool {
+    fn is_within_share(&self, now: Timestamp) -> bool {
         self.slot_share.is_none_or(|share| {
             let own = self.in_flight.values().filter(|f| !f.adopted).count();
-            (own as f64) < (self.max_in_flight() as f64 * share).ceil()
+            (own as f64) < (self.max_in_flight(now) as f64 * share).ceil()
         })
     }
 
@@ -360,7 +380,7 @@
         if !self.has_free_slot(now) {
             return 0;
         }
-        let by_slots = (self.max_in_flight() - self.in_flight.len()) as u32;
+        let by_slots = (self.max_in_flight(now) - self.in_flight.len()) as u32;
         let used: u32 = self.in_flight.values().map(|f| f.tokens).sum();
         let by_memory = match self.info.capacity.memory_tokens {
             Some(cap) if used > 0 => {
@@ -375,13 +395,13 @@
 
     // Concurrent requests sent to the target. Non-LLM services get as many beyond their slots as
     // complete within one turnaround, so that a freed slot has its next request already.
-    fn max_in_flight(&self) -> usize {
+    fn max_in_flight(&self, now: Timestamp) -> usize {
         let slots = self.info.capacity.slots as usize;
         let prefetched = match self.info.capacity.memory_tokens {
             Some(_) => 0.0,
             None => slots as f64 * TURNAROUND_MS / self.call_ms,
         };
-        slots + prefetched.round() as usize
+        (slots + prefetched.round() as usize).min(self.shrunk_room(now))
     }
 
     /// Decode time per token, in milliseconds.
@@ -664,6 +684,7 @@
             } => self.record_complete(&done, first_ms, rest_ms, output, now),
             SlotOutcome::Failed => self.record_failure(FAILED_WEIGHT, now),
             SlotOutcome::Full => self.backoff_until = now + FULL_BACKOFF_MS,
+            SlotOutcome::Brittle { per_s } => self.shrink(per_s, now),
             SlotOutcome::Gone => self.backoff_until = now + GONE_BACKOFF_MS,
             SlotOutcome::Broken => {
                 self.record_failure(BROKEN_WEIGHT, now);
@@ -680,6 +701,30 @@
         }
     }
 
+    // A target that falls over if it refuses many requests gets half as many at a time, and one more from time to
+    // time: other nodes may send to it as well (additive increase, multiplicative decrease).
+    fn shrink(&mut self, per_s: f64, now: Timestamp) {
+        if self.room.is_some_and(|room| now < room.paused_until) {
+            return;
+        }
+        let pause_ms = BRITTLE_PAUSE_FACTOR * 1000.0 / per_s.max(MIN_BRITTLE_PER_S);
+        let pause_ms = pause_ms.clamp(FULL_BACKOFF_MS, MAX_BRITTLE_PAUSE_MS);
+        let paused_until = now + pause_ms;
+        self.room = Some(ShrunkRoom {
+            cap: (self.in_flight.len() / 2).max(1),
+            since: now,
+            paused_until,
+        });
+        self.backoff_until = Timestamp(self.backoff_until.0.max(paused_until.0));
+    }
+
+    // The requests that it takes at a time, if it is known to take fewer than its slots.
+    fn shrunk_room(&self, now: Timestamp) -> usize {
+        self.room.map_or(usize::MAX, |room| {
+            room.cap + ((now - room.since) / ROOM_GROWTH_MS).max(0.0) as usize
+        })
+    }
+
     fn record_complete(
         &mut self,
         done: &InFlight,
--- a/crates/placement/tests/placement/withheld.rs
+++ b/crates/placement/tests/placement/withheld.rs
@@ -119,3 +119,59 @@
     let decisions = s.poll(at(12_002.0));
     assert_eq!(ids.map(|id| granted(&decisions, id)), [false, true, true]);
 }
+
+// LIMIT of issue 59: targets that fall over if they refuse many requests, and from one moment on let none wait. Two
+// schedulers send to them, as during a handover.
+#[test]
+fn a_brittle_target_refuses_fewer_requests_a_second_than_it_bears() {
+    const SLOTS: usize = 6;
+    for per_s in [2.0, 5.0, 10.0] {
+        let mut info = target("a", SLOTS as u32);
+        info.capacity.memory_tokens = None;
+        let mut schedulers = [scheduler(vec![info.clone()]), scheduler(vec![info])];
+        let mut running: Vec<(f64, usize, OfferId)> = Vec::new();
+        let (mut refusals, mut served): (Vec<f64>, usize) = (Vec::new(), 0);
+        for step in 0..20_000_u32 {
+            let ms = f64::from(step);
+            let (done, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|r| r.0 <= ms);
+            running = rest;
+            for (_, n, id) in done {
+                schedulers[n].finish(id, complete(30.0, 0.0, 0), at(ms));
+                served += 1;
+            }
+            for (n, s) in schedulers.iter_mut().enumerate() {
+                let offer = Offer {
+                    parts: Vec::new(),
+                    prompt: 0,
+                    output: 0,
+                    ..offer(0)
+                };
+                s.offer(offer, at(ms));
+                for id in grants(&s.poll(at(ms))) {
+                    let waits = running.len() >= SLOTS;
+                    match waits && ms >= 3000.0 {
+                        true => {
+                            refusals.push(ms);
+                            s.finish(id, SlotOutcome::Brittle { per_s }, at(ms));
+                        }
+                        false => {
+                            let begins = running.iter().map(|r| r.0).nth_back(SLOTS - 1);
+                            let begins = begins.unwrap_or(ms).max(ms);
+                            running.push((begins + 20.0 + f64::from(step % 20), n, id));
+                        }
+                    }
+                }
+            }
+        }
+        for from in &refusals {
+            let within = refusals
+                .iter()
+                .filter(|ms| (*from..*from + 1000.0).contains(*ms));
+            let count = within.count() as f64;
+            assert!(count <= per_s, "{per_s}: {count} refusals in a second");
+        }
+        // Half of what its slots take.
+        let most = SLOTS * 20_000 / 30;
+        assert!(served >= most / 2, "{per_s}: {served} of {most} served");
+    }
+}
