--- a/crates/placement/tests/crash_storms.rs
+++ b/crates/placement/tests/crash_storms.rs
@@ -773,3 +773,34 @@
     }
     assert!(beyond.is_empty(), "{beyond:#?}");
 }
+
+/// The least that a first crash can cost: what is related to others later has to be told to somebody.
+#[test]
+fn one_broken_request_costs_a_message_to_each_coordinator_at_all_sizes() {
+    for nodes in [6, 84, 390] {
+        let storm = Storm {
+            nodes,
+            targets: 1,
+            ..Storm::default()
+        };
+        let mut world = World::new(storm, 1);
+        // The first nodes coordinate.
+        let home = nodes - 1;
+        let features = prompt(&[SYSTEM], 1);
+        world.running.push(Running {
+            home,
+            id: 1,
+            target: 0,
+            features,
+            bad: true,
+            sent: 0.0,
+            ends: 100.0,
+            trial: None,
+        });
+        let world = world.run_for(20_000.0);
+        assert_eq!(world.broken, 1);
+        let sent: usize = world.costs.iter().map(|c| c.messages).sum();
+        assert_eq!(sent, 2 * COORDINATORS, "{nodes} nodes: sent and received");
+        assert_eq!(world.costs[home].messages, COORDINATORS);
+    }
+}
