Take no connection of others for a cut without a try of the node's own

Now only a direct connection that has just failed counts, and one that succeeds ends the cut for all targets.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -219,7 +219,7 @@
                 }
                 let tunnel = self.detours.connect(pool, target, born, address).await;
                 if tunnel.is_ok() {
-                    self.detours.record_detour(pool, target);
+                    self.detours.record_detour(pool, target, false);
                 }
                 self.open_tunnel(owner, tunnel, ConnectError::Timeout).await
             }
@@ -256,7 +256,7 @@
                         let (this, pool, target) = (self.clone(), pool.clone(), target.clone());
                         tokio::spawn(async move {
                             if !this.clone().keep_opened(direct).await {
-                                this.detours.record_detour(&pool, &target);
+                                this.detours.record_detour(&pool, &target, true);
                             }
                         });
                         return self.open_tunnel(owner, Ok(tunnel), ConnectError::Timeout).await;
@@ -269,7 +269,7 @@
             },
         };
         if tunnel.is_ok() {
-            self.detours.record_detour(pool, &target);
+            self.detours.record_detour(pool, &target, true);
         }
         self.open_tunnel(owner, tunnel, failure).await
     }
--- a/crates/gateway/src/detour.rs
+++ b/crates/gateway/src/detour.rs
@@ -268,12 +268,15 @@
         }
     }
 
-    /// Records that another node has connected to a target to which this one has failed to, or did not try to.
-    pub fn record_detour(&self, pool: &PoolName, target: &TargetName) {
+    /// Records that another node has connected to a target. `failed` says whether this one has just failed to.
+    pub fn record_detour(&self, pool: &PoolName, target: &TargetName, failed: bool) {
         let now = clock::now();
         let is_news = self.with_paths(pool, |p| {
             let was_cut_off = p.is_cut_off(now);
-            p.record_detour(target, now);
+            match failed {
+                true => p.record_failed(target, now),
+                false => p.record_detour(target, now),
+            }
             !was_cut_off && p.is_cut_off(now)
         });
         if is_news {
--- a/crates/placement/src/paths.rs
+++ b/crates/placement/src/paths.rs
@@ -13,7 +13,7 @@
 
 /// Targets that other nodes reach, and this one does not, before it takes itself for cut off.
 const MIN_TARGETS: usize = 2;
-/// How long a path that failed is avoided after the last time that another node reached the target, in
+/// How long a path that failed is avoided, and how long a node without requests takes itself for cut off, in
 /// milliseconds.
 const AVOID_MS: f64 = 2000.0;
 /// Time between two connections that are opened to see whether a path is back, in milliseconds.
@@ -38,7 +38,8 @@
 /// What one node knows of its paths to the targets of a pool.
 #[derive(Debug, Default)]
 pub struct Paths {
-    // When another node last reached each target that this one did not.
+    // When this node last failed to reach each target that another one did; while it is cut off, when another
+    // one last reached it.
     failed: IndexMap<TargetName, Timestamp>,
     // When the node last established a connection itself.
     connected: Option<Timestamp>,
@@ -66,13 +67,14 @@
     /// Records that the node has connected to a target itself.
     pub fn record_connected(&mut self, target: &TargetName, now: Timestamp) {
         self.connected = Some(now);
-        self.failed.shift_remove(target);
-        self.cut_since = None;
+        match self.cut_since.take() {
+            Some(_) => self.failed.clear(),
+            None => drop(self.failed.shift_remove(target)),
+        }
     }
 
-    /// Records that another node has connected to a target to which this one has just failed to connect, or
-    /// did not try to.
-    pub fn record_detour(&mut self, target: &TargetName, now: Timestamp) {
+    /// Records that another node has connected to a target to which this one has just failed to connect.
+    pub fn record_failed(&mut self, target: &TargetName, now: Timestamp) {
         self.failed.shift_remove(target);
         while self.failed.len() >= MAX_TARGETS {
             self.failed.shift_remove_index(0);
@@ -86,6 +88,14 @@
         }
     }
 
+    /// Records that another node has connected to a target to which this one did not try to connect. That is no
+    /// evidence, but a node that is cut off remains so while it sends requests.
+    pub fn record_detour(&mut self, target: &TargetName, now: Timestamp) {
+        if self.cut_since.is_some() {
+            self.failed.insert(target.clone(), now);
+        }
+    }
+
     /// Records a response on a connection that this node has opened itself.
     pub fn record_response(&mut self, now: Timestamp) {
         self.heard = Some(now);
