Let coordinators act on crashes that only others have reported

Found by reading: the gateway polls the exchange of crashes when it has something to send, and a coordinator that had been told of crashes, and had none of its own, had nothing to send, so that it neither asked nor blamed. It acted only once another event made it poll.

The simulation polled each step, which hid it.

--- a/crates/placement/src/crash_exchange.rs
+++ b/crates/placement/src/crash_exchange.rs
@@ -406,11 +406,11 @@
         out.into_iter().collect()
     }
 
-    /// Whether messages are due that [`CrashExchange::poll`] held back.
+    /// Whether [`CrashExchange::poll`] may have messages: it held some back, or crashes are to be asked about.
     pub fn has_more(&self) -> bool {
         let is_told = |told: &Vec<Recipient>| self.coordinators.iter().all(|c| told.contains(c));
-        !self.rumours.is_empty()
-            || !self.questions.is_empty()
+        self.ledger.has_crashes()
+            || !self.rumours.is_empty()
             || !self.reports.iter().all(|r| is_told(&r.told))
             || !self.sound.values().all(|s| is_told(&s.told))
     }
--- a/crates/placement/src/crash_ledger.rs
+++ b/crates/placement/src/crash_ledger.rs
@@ -678,6 +678,11 @@
         }
     }
 
+    /// Whether any crash is known.
+    pub(crate) fn has_crashes(&self) -> bool {
+        !self.crashes.is_empty()
+    }
+
     /// The blocks, without suspicions.
     pub fn blocks(&self, now: Timestamp) -> Vec<BlockNews> {
         let blocks = self.blocked.iter().filter(|(_, b)| !b.is_suspicion());
--- a/crates/placement/tests/crash_storms.rs
+++ b/crates/placement/tests/crash_storms.rs
@@ -423,7 +423,8 @@
 
     fn push_news(&mut self) {
         for n in 0..self.nodes.len() {
-            if !self.nodes[n].alive {
+            // As the gateway does.
+            if !self.nodes[n].alive || !self.nodes[n].exchange.has_more() {
                 continue;
             }
             let peers = self.peers_of(n);
