Drop blocks that are over at all nodes

What callers would have seen: requests refused for good, 503 `crashes-targets`, at all nodes but one, by a block that is over.

Cause, older: blocks of the store that are over for longer than they are kept were added all the same, and dropped with the first assessment, up to 250 ms later; a request that came before got 503. Now such blocks are not added, and all nodes drop what has expired.

a_block_that_is_over_for_long_blocks_nothing_at_any_node failed before (Blocked where Free was due). The test that found it now prints the body.

--- a/crates/lab/tests/gateway/odd_records.rs
+++ b/crates/lab/tests/gateway/odd_records.rs
@@ -83,8 +83,9 @@
         ];
         for call in calls {
             let result = cluster.call(&call).await;
-            assert_eq!(result.status.map(|s| s.as_u16()), Some(200), "{call:?}");
-            assert!(result.complete, "{call:?}");
+            let (status, body) = (result.status.map(|s| s.as_u16()), &result.body);
+            assert_eq!(status, Some(200), "{call:?}: {body:?}");
+            assert!(result.complete, "{call:?}: {body:?}");
         }
     }
 }
--- a/crates/placement/src/crash_exchange.rs
+++ b/crates/placement/src/crash_exchange.rs
@@ -286,9 +286,11 @@
         self.ledger.merge(news, now);
     }
 
-    /// Blames features, if this node is an active coordinator; returns the blocks and suspicions that begin now.
+    /// Drops what has expired, and blames features if this node is an active coordinator; returns the blocks and
+    /// suspicions that begin now.
     pub fn assess(&mut self, now: Timestamp) -> Vec<BlockNews> {
         if self.rank.is_none() {
+            self.ledger.expire(now);
             return Vec::new();
         }
         let begun = self.ledger.assess(now);
--- a/crates/placement/src/crash_ledger.rs
+++ b/crates/placement/src/crash_ledger.rs
@@ -391,13 +391,18 @@
             .retain(|_, c| !c.features.iter().all(|f| is_sound(f, c.crashed)));
     }
 
-    /// Drops what has expired and blames features; returns the blocks that begin now.
-    pub fn assess(&mut self, now: Timestamp) -> Vec<BlockNews> {
+    /// Drops what has expired.
+    pub fn expire(&mut self, now: Timestamp) {
         self.crashes
             .retain(|_, c| now - c.crashed < CRASH_LIFETIME_MS);
         self.blocked.retain(|_, b| now - b.since < b.kept_ms());
         // Blocks that begin later need only later completions.
         self.sound.retain(|_, t| now - *t < CRASH_LIFETIME_MS);
+    }
+
+    /// Drops what has expired and blames features; returns the blocks that begin now.
+    pub fn assess(&mut self, now: Timestamp) -> Vec<BlockNews> {
+        self.expire(now);
         let again = self.blocked.iter().filter_map(|(set, b)| {
             let first_crash = self.first_crash_after(set, b, now)?;
             let lasts_ms = self.next_length(set, b);
@@ -586,7 +591,8 @@
             (false, false) => block.ends() - b.ends() < CLOCK_TOLERANCE_MS,
         });
         let cleared = |f: &Feature| self.is_cleared(*f, block.first_crash);
-        let unusable = news.set.is_empty() || news.set.len() > MAX_FEATURES;
+        let is_over = now - block.since >= block.kept_ms();
+        let unusable = is_over || news.set.is_empty() || news.set.len() > MAX_FEATURES;
         let is_blocked = known.is_none() && self.is_set_blocked(&news.set, now);
         if unusable || is_known || is_blocked || news.set.iter().all(cleared) {
             return false;
--- a/crates/placement/tests/crash_ledger.rs
+++ b/crates/placement/tests/crash_ledger.rs
@@ -1,8 +1,8 @@
 //! Which parts of prompts, and which requests, are blamed for crashes of targets.
 
 use rwd_placement::{
-    Admission, BlockNews, CrashLedger, CrashNews, CrashReport, Feature, Fingerprint, PromptPart,
-    Timestamp, features,
+    Admission, BlockNews, CrashExchange, CrashLedger, CrashNews, CrashReport, Feature, Fingerprint,
+    PromptPart, Timestamp, features,
 };
 
 const SYSTEM: u64 = 0xaaa;
@@ -416,3 +416,25 @@
     assert!(!may_be_sent(&mut ledger, REPEATED, now));
     assert!(ledger.news(at(now)).blocked.len() <= 128);
 }
+
+// Blocks of the store may be older than they are kept, and no coordinator assesses them at other nodes.
+#[test]
+fn a_block_that_is_over_for_long_blocks_nothing_at_any_node() {
+    let block = |since_ms: f64| BlockNews {
+        set: plain(REPEATED),
+        first_crash_ms: since_ms,
+        since_ms,
+        lasts_ms: 1.0,
+    };
+    let mut exchange = CrashExchange::default();
+    exchange.restore(vec![block(1e9)], at(0.0));
+    let admitted = exchange.admit(&plain(REPEATED), || false, at(0.0));
+    assert_eq!(admitted, Admission::Free);
+    // One that is over for less is tried by one node, and forgotten after an hour.
+    exchange.restore(vec![block(1000.0)], at(0.0));
+    let admitted = exchange.admit(&plain(REPEATED), || false, at(1.0));
+    assert_eq!(admitted, Admission::Blocked { left_ms: 0.0 });
+    exchange.assess(at(3_700_000.0));
+    let admitted = exchange.admit(&plain(REPEATED), || false, at(3_700_000.0));
+    assert_eq!(admitted, Admission::Free);
+}
